--- /dev/null
+++ b/cmd/direct.go
@@ -0,0 +1,37 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/runner"
+	"github.com/bluebelldyke/bluebelldyke/platform"
+)
+
+func newDirect() *command {
+	config := platform.SettingsFile()
+	flags := newSubcommand("direct", "Run a daemon on the users' platform, where backend servers answer callers directly.",
+		"direct --config custom/conf/direct.toml")
+	flags.String(&config, "c", "config", "File with the process settings; the one that the platform names without it.")
+	return &command{flags: flags, run: func(ctx context.Context, _ io.Writer) error {
+		if config == "" {
+			return usageError("no --config, and the platform names no settings file: name one")
+		}
+		s, err := loader.Load(config)
+		if err != nil {
+			return err
+		}
+		store, err := platform.NewStore(s.PlatformURL)
+		if err != nil {
+			return err
+		}
+		ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		// The first signal begins a planned stop. Restoring the default action then lets a second one end the process.
+		context.AfterFunc(ctx, stop)
+		return explainBind(config, runner.Run(ctx, runner.Config{Settings: s, Source: store, Layout: platform.PacketLayout()}))
+	}}
+}
--- /dev/null
+++ b/internal/direct/loader/loader.go
@@ -0,0 +1,123 @@
+// Package loader reads the process settings of a daemon that forwards with direct return. The platform renders the file
+// from deploy/direct.toml.template at each start and whenever they change.
+package loader
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
+	"github.com/bluebelldyke/bluebelldyke/modules/inspector"
+)
+
+// Bounds of durations.
+const (
+	minGrace = time.Second
+	maxGrace = time.Hour
+)
+
+// Settings are the process settings.
+type Settings struct {
+	Name             string // of the VM
+	AvailabilityZone string
+	Entry            netip.AddrPort // where the fabric sends packets of callers
+	Readiness        netip.AddrPort
+	Peer             Peer
+	PlatformURL      string
+	// Grace is the time between the signal to stop and the end of the process by force.
+	Grace time.Duration
+	Log   Log
+}
+
+// Peer is the side that faces the other daemons.
+type Peer struct {
+	Bind  netip.AddrPort
+	Seeds []netip.AddrPort
+}
+
+// Log selects which log lines are written and how.
+type Log struct{ Level, Format string }
+
+// Load reads the settings file.
+func Load(file string) (Settings, error) {
+	content, err := configurer.ReadFile(file)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(file, content)
+}
+
+// Parse reads the TOML content of the named file. The error is an inspector.ErrInvalid that lists all problems found.
+func Parse(file string, content []byte) (Settings, error) {
+	report := inspector.NewReport(file)
+	root := inspector.Open(report, content)
+	var s Settings
+	root.Require("add the key; deploy/direct.toml.template shows it", "name", "availability-zone", "entry", "readiness", "peer", "platform", "stop")
+	s.Name, _ = root.Text("name")
+	s.AvailabilityZone, _ = root.Text("availability-zone")
+	s.Entry = readBind(root.Table("entry"))
+	s.Readiness = readBind(root.Table("readiness"))
+	s.Peer = readPeer(root.Table("peer"))
+	s.PlatformURL = readPlatform(root.Table("platform"))
+	s.Grace = readGrace(root.Table("stop"))
+	s.Log = readLog(root.Table("log"))
+	root.Close()
+	return s, report.Err()
+}
+
+func readBind(t *inspector.Table) netip.AddrPort {
+	t.Require("write the IP address and port to listen on", "bind")
+	bind, _ := t.AddrPort("bind")
+	t.Close()
+	return bind
+}
+
+func readPeer(t *inspector.Table) Peer {
+	t.Require("write the IP address and port of the peer socket", "bind")
+	var p Peer
+	p.Bind, _ = t.AddrPort("bind")
+	seeds, _ := t.Texts("seeds")
+	for i, text := range seeds {
+		seed, err := netip.ParseAddrPort(text)
+		if err != nil || !seed.Addr().Is4() || seed.Port() == 0 {
+			t.ItemProblem("seeds", i, fmt.Sprintf("%q is not an IPv4 address with a port", text), `write one such as "10.0.0.1:7401"`)
+			continue
+		}
+		p.Seeds = append(p.Seeds, seed)
+	}
+	t.Close()
+	return p
+}
+
+func readPlatform(t *inspector.Table) string {
+	t.Require("write the URL of the platform's store", "url")
+	text, ok := t.Text("url")
+	if ok {
+		if u, err := url.Parse(text); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			t.Problem("url", fmt.Sprintf("%q is not an HTTP URL", text), `write a URL such as "http://10.0.0.1:7400"`)
+		}
+	}
+	t.Close()
+	return text
+}
+
+func readGrace(t *inspector.Table) time.Duration {
+	t.Require("write the time until the process is ended by force", "grace")
+	grace, _ := t.Duration("grace", minGrace, maxGrace)
+	t.Close()
+	return grace
+}
+
+func readLog(t *inspector.Table) Log {
+	l := Log{Level: "info", Format: "json"}
+	if level, ok := t.Choice("level", "debug", "info", "warn", "error"); ok {
+		l.Level = level
+	}
+	if format, ok := t.Choice("format", "json", "text"); ok {
+		l.Format = format
+	}
+	t.Close()
+	return l
+}
--- /dev/null
+++ b/internal/direct/runner/runner.go
@@ -0,0 +1,144 @@
+// Package runner assembles and runs one daemon that forwards with direct return.
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"runtime/debug"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/dig"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/follower"
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/responder"
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
+	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+	"github.com/bluebelldyke/bluebelldyke/services/steerer"
+)
+
+const (
+	// heapTarget is the heap growth in percent between two collections: memory is dearer than processor time here.
+	heapTarget = 30
+	// stopPoll is how often a stopping daemon looks whether the fabric has taken it out of rotation.
+	stopPoll = 20 * time.Millisecond
+	// refusals is the number of checks that the fabric must miss to take a daemon out of rotation.
+	refusals = 2
+	// settle is how long packets that were on their way when the fabric changed its choice may still arrive.
+	settle = 150 * time.Millisecond
+	// graceReserve is the part of the grace that a stopping daemon leaves for its exit.
+	graceReserve = 500 * time.Millisecond
+)
+
+// Config holds what a daemon is made of, beside its settings.
+type Config struct {
+	Settings loader.Settings
+	Source   follower.Source
+	Layout   editor.Layout
+}
+
+// duties are the parts of a running daemon.
+type duties struct {
+	fx.In
+	Settings    loader.Settings
+	Logger      *zap.Logger
+	Follower    *follower.Follower
+	Transporter *transporter.Transporter
+	Responder   *responder.Responder
+}
+
+// Run runs a daemon until ctx ends and its planned stop is done.
+func Run(ctx context.Context, c Config) error {
+	debug.SetGCPercent(heapTarget)
+	var d duties
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(c.Settings, c.Layout),
+		fx.Provide(func() follower.Source { return c.Source }, newRandom, newLogger, newTransporter, newFollower, newResponder),
+		fx.Invoke(func(in duties) { d = in }),
+	)
+	if err := app.Err(); err != nil {
+		return dig.RootCause(err)
+	}
+	return d.run(ctx)
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func newLogger(s loader.Settings) (*zap.Logger, error) {
+	level, err := zap.ParseAtomicLevel(s.Log.Level)
+	if err != nil {
+		return nil, eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
+	}
+	c := zap.NewProductionConfig()
+	if s.Log.Format == "text" {
+		c = zap.NewDevelopmentConfig()
+	}
+	c.Level, c.DisableStacktrace, c.OutputPaths = level, true, []string{"stdout"}
+	logger, err := c.Build()
+	return logger, eris.Wrap(err, "create the logger")
+}
+
+func newTransporter(s loader.Settings, layout editor.Layout, random *rand.Rand) (*transporter.Transporter, error) {
+	return transporter.New(transporter.Config{
+		Bind: s.Entry, Layout: layout, Steerer: steerer.New(steerer.Config{AvailabilityZone: s.AvailabilityZone, Random: random}),
+	})
+}
+
+func newFollower(source follower.Source, t *transporter.Transporter, logger *zap.Logger) *follower.Follower {
+	return follower.New(follower.Config{Source: source, Sink: t, Logger: logger, Random: newRandom()})
+}
+
+func newResponder(s loader.Settings, logger *zap.Logger) (*responder.Responder, error) {
+	return responder.New(s.Readiness, logger)
+}
+
+// run runs the duties. When ctx ends they go on until the fabric has taken the daemon out of rotation.
+func (d *duties) run(ctx context.Context) error {
+	d.Logger.Info("daemon starts", zap.String("vm", d.Settings.Name), zap.String("availability-zone", d.Settings.AvailabilityZone))
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return d.Follower.Run(work) })
+	group.Go(func() error { return d.Transporter.Run(work) })
+	group.Go(func() error { return d.Responder.Run(work) })
+	group.Go(func() error {
+		select {
+		case <-work.Done():
+		case <-ctx.Done():
+		case <-d.Transporter.Ready():
+			d.Responder.SetReady(true)
+			d.Logger.Info("daemon is ready")
+		}
+		return nil
+	})
+	group.Go(func() error {
+		select {
+		case <-work.Done():
+		case <-ctx.Done():
+			d.stop(work)
+		}
+		cancel()
+		return nil
+	})
+	err := group.Wait()
+	d.Logger.Info("daemon ends")
+	return err
+}
+
+// stop refuses readiness and returns when the fabric has noticed, or when the grace is nearly over.
+func (d *duties) stop(work context.Context) {
+	d.Logger.Info("daemon stops", zap.Duration("grace", d.Settings.Grace))
+	d.Responder.SetReady(false)
+	deadline := time.Now().Add(d.Settings.Grace - graceReserve)
+	before := d.Responder.Refused()
+	for work.Err() == nil && time.Now().Before(deadline) && d.Responder.Refused() < before+refusals {
+		time.Sleep(stopPoll)
+	}
+	time.Sleep(settle)
+}
--- /dev/null
+++ b/internal/direct/transporter/transporter.go
@@ -0,0 +1,153 @@
+// Package transporter carries the packets of callers to backend servers: it owns the socket and the Steerer of a daemon.
+package transporter
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebelldyke/bluebelldyke/models/directory"
+	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+	"github.com/bluebelldyke/bluebelldyke/services/steerer"
+)
+
+const (
+	// prefixSize is the length of the backend server's id before each packet.
+	prefixSize = 8
+	// maxPacket is the largest datagram read; a packet has 1,231 bytes at most.
+	maxPacket = 2048
+	// receiveBuffer is the size of the socket's queue: half a second of packets at 2,000 a second.
+	receiveBuffer = 1 << 20
+	// sweepInterval is the time between two sweeps of what the Steerer remembers.
+	sweepInterval = time.Second
+)
+
+// Config holds what a Transporter is made of.
+type Config struct {
+	Bind    netip.AddrPort
+	Layout  editor.Layout
+	Steerer *steerer.Steerer
+}
+
+// Transporter forwards packets.
+type Transporter struct {
+	c    Config
+	conn *net.UDPConn
+
+	mu       sync.Mutex // guards the Steerer and what follows
+	views    [2]bool    // whether a configuration and a list have arrived
+	received bool
+	last     time.Time // of the last packet
+	ready    chan struct{}
+	counts   [64]uint64
+}
+
+// New binds the socket.
+func New(c Config) (*Transporter, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(c.Bind))
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on UDP %s: end the process that uses it or change entry.bind", c.Bind)
+	}
+	_ = conn.SetReadBuffer(receiveBuffer) // a smaller queue only drops earlier
+	return &Transporter{c: c, conn: conn, ready: make(chan struct{})}, nil
+}
+
+// SetConfiguration puts a configuration in force.
+func (t *Transporter) SetConfiguration(c *directory.Configuration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.c.Steerer.SetConfiguration(time.Now(), c)
+	t.arrived(0)
+}
+
+// SetListing replaces the backend servers.
+func (t *Transporter) SetListing(l *directory.Listing) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.c.Steerer.SetListing(time.Now(), l)
+	t.arrived(1)
+}
+
+func (t *Transporter) arrived(view int) {
+	t.views[view] = true
+	select {
+	case <-t.ready:
+	default:
+		if t.views[0] && t.views[1] {
+			close(t.ready)
+		}
+	}
+}
+
+// Ready is closed once packets can be decided about.
+func (t *Transporter) Ready() <-chan struct{} { return t.ready }
+
+// Run forwards packets until ctx ends. Packets that arrive before the first views wait in the socket.
+func (t *Transporter) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
+	defer stop()
+	group.Go(func() error { return t.sweep(ctx) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.ready:
+		}
+		return t.forward(ctx)
+	})
+	return group.Wait()
+}
+
+func (t *Transporter) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			t.mu.Lock()
+			t.c.Steerer.Sweep(now)
+			t.mu.Unlock()
+		}
+	}
+}
+
+func (t *Transporter) forward(ctx context.Context) error {
+	buffer := make([]byte, prefixSize+maxPacket)
+	reset := make([]byte, t.c.Layout.Size)
+	var p editor.Packet
+	for {
+		n, _, err := t.conn.ReadFromUDPAddrPort(buffer[prefixSize:])
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			continue // an ICMP error of an earlier packet
+		}
+		packet := buffer[prefixSize : prefixSize+n]
+		if err := t.c.Layout.Parse(packet, &p); err != nil {
+			continue
+		}
+		now := time.Now()
+		t.mu.Lock()
+		d := t.c.Steerer.Steer(now, &p)
+		t.mu.Unlock()
+		switch d.Action {
+		case steerer.Forward:
+			binary.BigEndian.PutUint64(buffer, uint64(d.Server))
+			t.c.Layout.SetTag(packet, d.Tag)
+			_, _ = t.conn.WriteToUDPAddrPort(buffer[:prefixSize+n], d.Address) // a lost packet is sent again by its caller
+		case steerer.Reset:
+			to := netip.AddrPortFrom(p.Source.Addr(), t.c.Bind.Port())
+			_, _ = t.conn.WriteToUDPAddrPort(t.c.Layout.Reset(reset, &p), to)
+		}
+	}
+}
--- /dev/null
+++ b/modules/editor/editor.go
@@ -0,0 +1,90 @@
+// Package editor reads the header of a packet in place and changes the fields that a forwarder may change. It allocates
+// nothing, so that the cost of a packet is bounded by the copy from and to the socket.
+package editor
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of Parse.
+var (
+	ErrTruncated = eris.New("packet is shorter than its header: check that the sender uses the header layout of this deployment")
+	ErrLength    = eris.New("packet length differs from the length in its header: check for datagrams cut on the way")
+)
+
+// IsErrTruncated reports whether err is an ErrTruncated.
+func IsErrTruncated(err error) bool { return eris.Is(err, ErrTruncated) }
+
+// IsErrLength reports whether err is an ErrLength.
+func IsErrLength(err error) bool { return eris.Is(err, ErrLength) }
+
+// Layout gives the offset of each field in bytes. All fields are big-endian; addresses are IPv4.
+type Layout struct {
+	Size                               int // of the header
+	SourceIP, DestinationIP            int // 4 bytes each
+	SourcePort, DestinationPort        int // 2 bytes each
+	Tag                                int // 4 bytes; the only field that a forwarder may change
+	DataLength                         int // 2 bytes
+	Flags                              int // 1 byte
+	Sequence, Acknowledged             int // 4 bytes each
+	FlagSYN, FlagACK, FlagFIN, FlagRST byte
+}
+
+// Flags are the control bits of a packet.
+type Flags struct{ SYN, ACK, FIN, RST bool }
+
+// Packet is the header of a packet.
+type Packet struct {
+	Source, Destination    netip.AddrPort
+	Tag                    uint32
+	Flags                  Flags
+	Sequence, Acknowledged uint32
+	DataLength             int
+}
+
+// Parse reads the header of b into p.
+func (l *Layout) Parse(b []byte, p *Packet) error {
+	if len(b) < l.Size {
+		return ErrTruncated
+	}
+	p.DataLength = int(binary.BigEndian.Uint16(b[l.DataLength:]))
+	if len(b) != l.Size+p.DataLength {
+		return ErrLength
+	}
+	p.Source = addrPort(b, l.SourceIP, l.SourcePort)
+	p.Destination = addrPort(b, l.DestinationIP, l.DestinationPort)
+	p.Tag = binary.BigEndian.Uint32(b[l.Tag:])
+	flags := b[l.Flags]
+	p.Flags = Flags{SYN: flags&l.FlagSYN != 0, ACK: flags&l.FlagACK != 0, FIN: flags&l.FlagFIN != 0, RST: flags&l.FlagRST != 0}
+	p.Sequence = binary.BigEndian.Uint32(b[l.Sequence:])
+	p.Acknowledged = binary.BigEndian.Uint32(b[l.Acknowledged:])
+	return nil
+}
+
+func addrPort(b []byte, ip, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[ip:ip+4])), binary.BigEndian.Uint16(b[port:]))
+}
+
+// SetTag writes the tag into the packet b, which Parse has accepted.
+func (l *Layout) SetTag(b []byte, tag uint32) { binary.BigEndian.PutUint32(b[l.Tag:], tag) }
+
+// Reset writes into b, which has at least Size bytes, the header of a reset that answers p, and returns it. Its sequence
+// number is the one that the caller expects next.
+func (l *Layout) Reset(b []byte, p *Packet) []byte {
+	b = b[:l.Size]
+	clear(b)
+	putAddrPort(b, l.SourceIP, l.SourcePort, p.Destination)
+	putAddrPort(b, l.DestinationIP, l.DestinationPort, p.Source)
+	b[l.Flags] = l.FlagRST
+	binary.BigEndian.PutUint32(b[l.Sequence:], p.Acknowledged)
+	return b
+}
+
+func putAddrPort(b []byte, ip, port int, a netip.AddrPort) {
+	four := a.Addr().As4()
+	copy(b[ip:], four[:])
+	binary.BigEndian.PutUint16(b[port:], a.Port())
+}
--- a/modules/fetcher/fetcher.go
+++ b/modules/fetcher/fetcher.go
@@ -98,52 +98,61 @@
 // Get reads the document name when its current revision is not after. With wait > 0 the platform holds the call until
 // the revision changes or wait has passed. It returns ErrNotModified when nothing changed.
 func (f *Fetcher) Get(ctx context.Context, name string, after uint64, wait time.Duration) (Document, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.timeout+max(wait, 0))
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.address(name, after, wait), nil)
-	if err != nil {
-		return Document{}, eris.Wrapf(ErrUnavailable, "%v", err)
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
+	if wait > 0 {
+		query.Set("wait", wait.String())
 	}
-	response, err := f.client.Do(request)
+	answer, err := f.Call(ctx, "/v1/documents/"+url.PathEscape(name), query, wait)
 	if err != nil {
-		return Document{}, eris.Wrapf(ErrUnavailable, "%v", err)
+		return Document{}, err
 	}
-	defer response.Body.Close()
-	switch response.StatusCode {
+	switch answer.Status {
 	case http.StatusOK:
-		return f.read(response)
+		revision, err := strconv.ParseUint(strings.TrimSpace(answer.Header.Get(revisionHeader)), 10, 64)
+		if err != nil || revision == 0 {
+			return Document{}, eris.Wrapf(ErrMalformed, "%s is %q", revisionHeader, answer.Header.Get(revisionHeader))
+		}
+		return Document{Revision: revision, Content: answer.Body}, nil
 	case http.StatusNotModified:
 		return Document{}, ErrNotModified
 	case http.StatusNotFound:
 		return Document{}, ErrNotFound
 	default:
-		return Document{}, eris.Wrapf(ErrUnavailable, "status %d", response.StatusCode)
+		return Document{}, eris.Wrapf(ErrUnavailable, "status %d", answer.Status)
 	}
 }
 
-func (f *Fetcher) address(name string, after uint64, wait time.Duration) string {
-	u := f.root.JoinPath("v1", "documents", name)
-	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
-	if wait > 0 {
-		query.Set("wait", wait.String())
-	}
-	u.RawQuery = query.Encode()
-	return u.String()
+// Answer is the platform's answer to one call.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
 }
 
-func (f *Fetcher) read(response *http.Response) (Document, error) {
-	revision, err := strconv.ParseUint(strings.TrimSpace(response.Header.Get(revisionHeader)), 10, 64)
-	if err != nil || revision == 0 {
-		return Document{}, eris.Wrapf(ErrMalformed, "%s is %q", revisionHeader, response.Header.Get(revisionHeader))
+// Call reads path, relative to the root of the platform. It takes the time-out of the Fetcher beyond wait. Every status is
+// an answer; without one the error is ErrUnavailable, and ErrOversized when the body exceeds the limit.
+func (f *Fetcher) Call(ctx context.Context, path string, query url.Values, wait time.Duration) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.timeout+max(wait, 0))
+	defer cancel()
+	u := f.root.JoinPath(path)
+	u.RawQuery = query.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return Answer{}, eris.Wrapf(ErrUnavailable, "%v", err)
 	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return Answer{}, eris.Wrapf(ErrUnavailable, "%v", err)
+	}
+	defer response.Body.Close()
 	content, err := io.ReadAll(io.LimitReader(response.Body, f.maxBytes+1))
 	if err != nil {
-		return Document{}, eris.Wrapf(ErrUnavailable, "body of revision %d: %v", revision, err)
+		return Answer{}, eris.Wrapf(ErrUnavailable, "body of %s: %v", path, err)
 	}
 	if int64(len(content)) > f.maxBytes {
-		return Document{}, eris.Wrapf(ErrOversized, "revision %d has more than %d bytes", revision, f.maxBytes)
+		return Answer{}, eris.Wrapf(ErrOversized, "%s has more than %d bytes", path, f.maxBytes)
 	}
-	return Document{Revision: revision, Content: content}, nil
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: content}, nil
 }
 
 // Backoff yields growing, jittered delays between failed calls, so that many daemons do not return to a recovering
--- /dev/null
+++ b/services/steerer/flows.go
@@ -0,0 +1,85 @@
+package steerer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+)
+
+const (
+	// maxFlows bounds the flows that are watched. Flows beyond it are forwarded like any other, but not counted.
+	maxFlows = 1 << 16
+	// copySpacing is the shortest time between two copies of an opening packet that a caller sends (200 ms), less the
+	// jitter of the links and of this process.
+	copySpacing = 150 * time.Millisecond
+)
+
+// flowKey names a flow.
+type flowKey struct{ caller, service netip.AddrPort }
+
+// flow is what a daemon has seen of a flow. It only feeds estimates: no flow depends on it.
+type flow struct {
+	server   *server
+	sequence uint32 // of the newest packet with data, or of the opening packet
+	received uint32 // what the caller has acknowledged
+	placed   time.Time
+	seen     time.Time
+	opening  bool
+	closing  bool
+	struck   bool // counted in the strikes of its server
+}
+
+func (s *Steerer) begin(now time.Time, key flowKey, p *editor.Packet, target *server) {
+	if len(s.flows) >= maxFlows {
+		return
+	}
+	s.flows[key] = &flow{server: target, sequence: p.Sequence, placed: now, seen: now, opening: p.Flags.SYN}
+	target.flows++
+}
+
+func (s *Steerer) forget(key flowKey) {
+	if f, ok := s.flows[key]; ok {
+		if !f.closing {
+			f.server.flows--
+		}
+		delete(s.flows, key)
+	}
+}
+
+// observe learns from a packet of an established flow.
+func (s *Steerer) observe(now time.Time, key flowKey, p *editor.Packet, target *server) {
+	f, ok := s.flows[key]
+	if ok && f.server != target {
+		s.forget(key)
+		ok = false
+	}
+	if !ok {
+		s.begin(now, key, p, target)
+		if f, ok = s.flows[key]; !ok {
+			return
+		}
+		f.received = p.Acknowledged
+	}
+	f.seen = now
+	switch {
+	case p.Flags.RST:
+		s.forget(key)
+		return
+	case p.Flags.FIN && !f.closing:
+		f.closing = true
+		f.server.flows--
+	}
+	switch {
+	case f.opening, int32(p.Acknowledged-f.received) > 0:
+		// The backend server has answered.
+		f.received = p.Acknowledged
+		f.opening = false
+		f.server.progress(now, f)
+	case p.DataLength > 0 && int32(p.Sequence-f.sequence) <= 0:
+		f.server.strike(now, f)
+	}
+	if p.DataLength > 0 && int32(p.Sequence-f.sequence) > 0 {
+		f.sequence = p.Sequence
+	}
+}
--- /dev/null
+++ b/services/steerer/steerer.go
@@ -0,0 +1,193 @@
+// Package steerer decides what happens to each packet that callers send when backend servers answer them directly. A
+// packet of an established flow follows the tag that it carries, so any daemon can forward it; new flows are placed. The
+// package uses no sockets, goroutines, clock or global randomness. A Steerer is not safe for concurrent use.
+package steerer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/bluebelldyke/bluebelldyke/models/directory"
+	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+	"github.com/bluebelldyke/bluebelldyke/modules/tagger"
+)
+
+// Action is what to do with a packet.
+type Action uint8
+
+// The actions.
+const (
+	Drop    Action = iota // nothing is sent
+	Forward               // to Decision.Server, with Decision.Tag
+	Reset                 // the caller's flow is reset
+)
+
+// Cause tells why a decision was made.
+type Cause uint8
+
+// The causes.
+const (
+	CauseNone Cause = iota
+	Established
+	Placed
+	Copied          // a copy of an opening packet went where the first one went
+	Moved           // a copy of an opening packet went to another backend server
+	NoRoute         // no route has the address
+	RouteRemoved    // the route of the flow was removed
+	NoBackendServer // no backend server can take the flow
+	UnknownTag      // the tag names no known backend server
+	ForeignTag      // the tag names a backend server of a service that the route never allowed
+	BackendServerGone
+	NotReady // no configuration has arrived yet
+	causes
+)
+
+var causeNames = [causes]string{
+	"none", "established", "placed", "copied", "moved", "no-route", "route-removed", "no-backend-server", "unknown-tag",
+	"foreign-tag", "backend-server-gone", "not-ready",
+}
+
+// String returns the name of the cause as logs and metrics spell it.
+func (c Cause) String() string { return causeNames[c] }
+
+// Causes returns all causes.
+func Causes() []Cause {
+	all := make([]Cause, causes)
+	for i := range all {
+		all[i] = Cause(i)
+	}
+	return all
+}
+
+// Decision is what to do with a packet and why.
+type Decision struct {
+	Action Action
+	Cause  Cause
+	// Server and Address are those of the backend server that gets the packet, or held the flow that is reset.
+	Server  directory.ServerID
+	Address netip.AddrPort
+	Tag     uint32
+}
+
+// Config holds what a Steerer is made of.
+type Config struct {
+	AvailabilityZone string
+	Random           *rand.Rand
+}
+
+// Steerer decides about the packets of one daemon.
+type Steerer struct {
+	c       Config
+	started time.Time
+
+	configured  bool
+	idleTimeout time.Duration
+	routes      map[netip.AddrPort]*route
+	removed     map[netip.AddrPort]time.Time
+
+	servers  map[directory.ServerID]*server
+	services map[string][]*server
+	tags     *tagger.Table
+	flows    map[flowKey]*flow
+}
+
+// New returns a Steerer that knows no route and no backend server.
+func New(c Config) *Steerer {
+	return &Steerer{
+		c: c, routes: map[netip.AddrPort]*route{}, removed: map[netip.AddrPort]time.Time{},
+		servers: map[directory.ServerID]*server{}, tags: tagger.New(nil), flows: map[flowKey]*flow{},
+		idleTimeout: defaultIdleTimeout,
+	}
+}
+
+// Steer decides about one packet of a caller.
+func (s *Steerer) Steer(now time.Time, p *editor.Packet) Decision {
+	if !s.configured {
+		return Decision{Cause: NotReady}
+	}
+	r, ok := s.routes[p.Destination]
+	if !ok {
+		return s.unrouted(now, p)
+	}
+	if p.Flags.SYN {
+		return s.open(now, p, r)
+	}
+	return s.follow(now, p, r)
+}
+
+// unrouted decides about a packet to an address without a route. A flow of a removed route ends at once; packets of other
+// flows get no answer, because the route may be one that this daemon does not know yet.
+func (s *Steerer) unrouted(now time.Time, p *editor.Packet) Decision {
+	if p.Flags.RST {
+		return Decision{Cause: NoRoute}
+	}
+	if _, removed := s.removed[p.Destination]; removed {
+		s.forget(flowKey{p.Source, p.Destination})
+		return Decision{Action: Reset, Cause: RouteRemoved}
+	}
+	if p.Flags.SYN {
+		return Decision{Action: Reset, Cause: NoRoute}
+	}
+	return Decision{Cause: NoRoute}
+}
+
+// follow decides about a packet of an established flow.
+func (s *Steerer) follow(now time.Time, p *editor.Packet, r *route) Decision {
+	key := flowKey{p.Source, p.Destination}
+	id, ok := s.tags.Open(p.Tag)
+	if !ok {
+		return Decision{Cause: UnknownTag}
+	}
+	target := s.servers[directory.ServerID(id)]
+	if !r.allowed[target.Service] {
+		return Decision{Cause: ForeignTag, Server: target.ID}
+	}
+	if target.goneFor(now) > goneConfirmation && !p.Flags.RST {
+		s.forget(key)
+		return Decision{Action: Reset, Cause: BackendServerGone, Server: target.ID, Address: target.Address}
+	}
+	s.observe(now, key, p, target)
+	return Decision{Action: Forward, Cause: Established, Server: target.ID, Address: target.Address, Tag: p.Tag}
+}
+
+// open decides about an opening packet.
+func (s *Steerer) open(now time.Time, p *editor.Packet, r *route) Decision {
+	key := flowKey{p.Source, p.Destination}
+	f, known := s.flows[key]
+	if known && f.opening && f.sequence == p.Sequence {
+		return s.repeat(now, key, f, r)
+	}
+	target := s.place(now, r, nil)
+	if target == nil {
+		return Decision{Action: Reset, Cause: NoBackendServer}
+	}
+	if known {
+		s.forget(key)
+	}
+	s.begin(now, key, p, target)
+	return s.send(target, Placed)
+}
+
+// repeat decides about a copy of an opening packet. The caller sends copies when no answer came in time; the first backend
+// server may be down or full, so the copy goes to another one. Copies that arrive close together were held up on
+// the way, and two answers at once would confuse the caller: they follow the first.
+func (s *Steerer) repeat(now time.Time, key flowKey, f *flow, r *route) Decision {
+	if now.Sub(f.placed) < copySpacing {
+		return s.send(f.server, Copied)
+	}
+	f.server.strike(now, f)
+	target := s.place(now, r, f.server)
+	if target == nil {
+		f.placed = now
+		return s.send(f.server, Copied)
+	}
+	f.server.flows--
+	target.flows++
+	f.server, f.placed, f.seen = target, now, now
+	return s.send(target, Moved)
+}
+
+func (s *Steerer) send(to *server, cause Cause) Decision {
+	return Decision{Action: Forward, Cause: cause, Server: to.ID, Address: to.Address, Tag: s.tags.Seal(uint64(to.ID))}
+}
--- /dev/null
+++ b/services/steerer/view.go
@@ -0,0 +1,152 @@
+package steerer
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/bluebelldyke/bluebelldyke/models/directory"
+	"github.com/bluebelldyke/bluebelldyke/modules/tagger"
+)
+
+const (
+	// defaultIdleTimeout holds until a configuration states one.
+	defaultIdleTimeout = 15 * time.Second
+	// memory is how long removed routes and backend servers are remembered. It exceeds the longest life of a flow (60 s).
+	memory = 90 * time.Second
+	// goneConfirmation is how long an entry must be missing before the flows of its backend server are reset: entries that
+	// lapsed while the platform was down are back within about 2 s of its return.
+	goneConfirmation = 2500 * time.Millisecond
+)
+
+// route is a route in force with what placement and the check of tags need.
+type route struct {
+	directory.Route
+	// allowed holds the services that the route allows or allowed: flows opened under an earlier version go on.
+	allowed map[string]bool
+	// credits are those of the smooth weighted round robin between the services, by index of Shares.
+	credits []int
+}
+
+// server is a backend server with what this daemon has seen of it.
+type server struct {
+	directory.BackendServer
+	gone   time.Time // when its entry was first missing; zero while it is listed
+	listed time.Time // when it was first listed in its incarnation
+	flows  int       // open flows that this daemon has seen
+	health
+}
+
+func (b *server) goneFor(now time.Time) time.Duration {
+	if b.gone.IsZero() {
+		return 0
+	}
+	return now.Sub(b.gone)
+}
+
+// SetConfiguration puts a version of the configuration in force. The caller passes versions in rising order.
+func (s *Steerer) SetConfiguration(now time.Time, c *directory.Configuration) {
+	before := s.routes
+	s.configured = true
+	s.idleTimeout = defaultIdleTimeout
+	if c.IdleTimeout > 0 {
+		s.idleTimeout = c.IdleTimeout
+	}
+	s.routes = make(map[netip.AddrPort]*route, len(c.Routes))
+	for _, r := range c.Routes {
+		s.routes[r.Address] = newRoute(r, before[r.Address])
+		delete(s.removed, r.Address)
+	}
+	for address := range before {
+		if s.routes[address] == nil {
+			s.removed[address] = now
+		}
+	}
+}
+
+func newRoute(r directory.Route, before *route) *route {
+	n := &route{Route: r, allowed: map[string]bool{}, credits: make([]int, len(r.Shares))}
+	if before != nil {
+		n.allowed = before.allowed
+		if slices.Equal(r.Shares, before.Shares) {
+			n.credits = before.credits
+		}
+	}
+	for _, share := range r.Shares {
+		if share.Weight > 0 {
+			n.allowed[share.Service] = true
+		}
+	}
+	return n
+}
+
+// SetListing replaces the backend servers. Those that are missing from it stay known as gone for a while, because packets
+// of their flows still arrive.
+func (s *Steerer) SetListing(now time.Time, l *directory.Listing) {
+	for _, b := range s.servers {
+		b.Leaving = true // until the listing says otherwise
+	}
+	present := make(map[directory.ServerID]bool, len(l.Servers))
+	for _, entry := range l.Servers {
+		present[entry.ID] = true
+		known := s.servers[entry.ID]
+		switch {
+		case known == nil:
+			s.servers[entry.ID] = &server{BackendServer: entry, listed: now}
+		case known.Incarnation != entry.Incarnation || known.Address != entry.Address:
+			known.BackendServer, known.listed, known.gone, known.health = entry, now, time.Time{}, health{}
+		default:
+			known.BackendServer, known.gone = entry, time.Time{}
+		}
+	}
+	for id, b := range s.servers {
+		switch {
+		case present[id]:
+		case b.gone.IsZero():
+			b.gone = now
+		case b.goneFor(now) > memory:
+			s.remove(b)
+		}
+	}
+	s.index()
+}
+
+func (s *Steerer) remove(b *server) {
+	delete(s.servers, b.ID)
+	for key, f := range s.flows {
+		if f.server == b {
+			delete(s.flows, key)
+		}
+	}
+}
+
+// index rebuilds the tags and the lists of backend servers by service. Sorted lists keep decisions reproducible.
+func (s *Steerer) index() {
+	ids := make([]uint64, 0, len(s.servers))
+	s.services = make(map[string][]*server)
+	for id, b := range s.servers {
+		ids = append(ids, uint64(id))
+		if b.gone.IsZero() {
+			s.services[b.Service] = append(s.services[b.Service], b)
+		}
+	}
+	for _, list := range s.services {
+		slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	s.tags = tagger.New(ids)
+}
+
+// Sweep forgets what is too old. It is to be called about once a second.
+func (s *Steerer) Sweep(now time.Time) {
+	for key, f := range s.flows {
+		if now.Sub(f.seen) > s.idleTimeout {
+			s.forget(key)
+		}
+	}
+	for address, since := range s.removed {
+		if now.Sub(since) > memory {
+			delete(s.removed, address)
+		}
+	}
+}
--- a/tests/layers/layers_test.go
+++ b/tests/layers/layers_test.go
@@ -13,7 +13,7 @@
 const module = "github.com/bluebelldyke/bluebelldyke/"
 
 // rank gives each layer its height. A package imports only from its own layer or from lower ones.
-var rank = map[string]int{"modules": 0, "models": 1, "services": 2, "routers": 3, "cmd": 4, "": 5}
+var rank = map[string]int{"modules": 0, "models": 1, "services": 2, "routers": 3, "internal": 3, "platform": 4, "cmd": 5, "": 6}
 
 // callerLayers are the layers that the public caller library may import: other programs embed it.
 var callerLayers = map[string]bool{"modules": true}
