steerer: reset flows of silent backend servers, spill by the mean load

Cause: flows on a dead backend server waited for the caller's deadline, and a suspected one got a new flow every 0.5 s from each daemon. Change: three flows that repeat packets for 0.3 s without any answer mark a backend server as silent: its flows are reset. Trials back off from 2 s to 16 s. New flows cross to another zone when the own one carries more than the fleet's mean.

--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -10,9 +10,6 @@
 const (
 	// maxFlows bounds the flows that are watched. Flows beyond it are forwarded like any other, but not counted.
 	maxFlows = 1 << 16
-	// copySpacing is the shortest time between two copies of an opening packet that a caller sends (200 ms), less the
-	// jitter of the links and of this process.
-	copySpacing = 150 * time.Millisecond
 )
 
 // flowKey names a flow.
@@ -21,9 +18,9 @@
 // flow is what a daemon has seen of a flow. It only feeds estimates: no flow depends on it.
 type flow struct {
 	server   *server
-	sequence uint32 // of the newest packet with data, or of the opening packet
-	received uint32 // what the caller has acknowledged
-	placed   time.Time
+	sequence uint32    // of the newest packet with data, or of the opening packet
+	received uint32    // what the caller has acknowledged
+	placed   time.Time // when the newest copy of the packet with sequence was sent
 	seen     time.Time
 	opening  bool
 	closing  bool
@@ -72,14 +69,14 @@
 	}
 	switch {
 	case f.opening, int32(p.Acknowledged-f.received) > 0:
-		// The backend server has answered.
 		f.received = p.Acknowledged
 		f.opening = false
-		f.server.progress(now, f)
-	case p.DataLength > 0 && int32(p.Sequence-f.sequence) <= 0:
+		f.server.answered(f)
+	case p.DataLength > 0 && p.Sequence == f.sequence && now.Sub(f.placed) >= repeatSpacing:
+		f.placed = now
 		f.server.strike(now, f)
 	}
 	if p.DataLength > 0 && int32(p.Sequence-f.sequence) > 0 {
-		f.sequence = p.Sequence
+		f.sequence, f.placed = p.Sequence, now
 	}
 }
--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -2,35 +2,70 @@
 
 import "time"
 
+// Evidence against a backend server. Backend servers acknowledge a request with its answer, and callers repeat after
+// 200 ms what was not acknowledged, so one repetition may also be a loss or slow work.
 const (
-	// suspectStrikes is how many flows must repeat packets without an answer before a backend server is suspected. Single
-	// losses on a link hit one flow at a time.
-	suspectStrikes = 2
-	// trialInterval is the time between new flows that a suspected backend server gets, which show whether it is back.
-	trialInterval = 500 * time.Millisecond
+	// suspectFlows is how many flows must repeat packets, with no answer on any flow meanwhile, before a backend server
+	// gets no new flows: a loss hits one flow at a time.
+	suspectFlows = 2
+	// silentFlows and silentFor are how many flows must repeat packets, and for how long, before a backend server counts
+	// as silent and its flows are reset. One that works at a quarter of its speed still answers one of 10 queued requests
+	// within this time; packets that waited in this daemon's socket while it was paused are read within a few ms.
+	silentFlows = 3
+	silentFor   = 300 * time.Millisecond
+	// repeatSpacing is the shortest time between two copies of a packet that a caller sends (200 ms), less the jitter of
+	// the links and of this process. Copies closer together were held up on the way.
+	repeatSpacing = 150 * time.Millisecond
+	// trialMin and trialMax bound the time between the new flows that a suspected backend server gets, which show whether
+	// it is back. It doubles with each one: a failed trial costs a caller 200 ms, and entries of dead ones lapse within 4 s.
+	trialMin = 2 * time.Second
+	trialMax = 16 * time.Second
 )
 
 // health is what flows tell of a backend server: packets that callers repeat because nothing came back count against it,
 // and any answer clears it.
 type health struct {
-	strikes  int       // flows that repeat packets since the last answer
-	answered time.Time // last sign of life
-	struck   time.Time // last strike
-	trial    time.Time // last new flow while suspected
+	repeating int           // flows that repeat packets since the last answer
+	since     time.Time     // first repetition since the last answer
+	trial     time.Time     // next new flow while suspected
+	trialGap  time.Duration // time to the trial after that
 }
 
+// strike counts a repeated packet of the flow, and reports whether the backend server became suspected by it.
 func (h *health) strike(now time.Time, f *flow) {
-	h.struck = now
-	if !f.struck {
-		f.struck = true
-		h.strikes++
+	if f.struck {
+		return
+	}
+	f.struck = true
+	if h.repeating == 0 {
+		h.since = now
+	}
+	h.repeating++
+	if h.repeating == suspectFlows {
+		h.trialGap = trialMin
+		h.trial = now.Add(h.trialGap)
 	}
 }
 
-func (h *health) progress(now time.Time, f *flow) {
-	h.answered = now
-	h.strikes = 0
+// answered takes an answer on the flow.
+func (h *health) answered(f *flow) {
+	h.repeating = 0
 	f.struck = false
 }
 
-func (h *health) suspected() bool { return h.strikes >= suspectStrikes }
+// suspected reports whether the backend server should get no new flows.
+func (h *health) suspected() bool { return h.repeating >= suspectFlows }
+
+// silent reports whether the backend server certainly answers nobody.
+func (h *health) silent(now time.Time) bool {
+	return h.repeating >= silentFlows && now.Sub(h.since) >= silentFor
+}
+
+// trialDue reports whether a suspected backend server may get a new flow.
+func (h *health) trialDue(now time.Time) bool { return !now.Before(h.trial) }
+
+// tried notes that a suspected backend server got a new flow.
+func (h *health) tried(now time.Time) {
+	h.trialGap = min(2*h.trialGap, trialMax)
+	h.trial = now.Add(h.trialGap)
+}
--- a/services/steerer/placement.go
+++ b/services/steerer/placement.go
@@ -2,6 +2,17 @@
 
 import "time"
 
+const (
+	// spillFactor and spillFlows are by how much the own availability zone's backend servers must carry more flows than
+	// the fleet's mean before new flows go to another one: crossing costs two link delays and dear bytes, and small counts
+	// differ by chance.
+	spillFactor = 1.25
+	spillFlows  = 2
+	// suspicion is added to the load of a suspected backend server. No number of flows reaches it: such a one gets new
+	// flows only when there is no other.
+	suspicion = 1 << 24
+)
+
 // place returns the backend server for a new flow of the route, nil when there is none. It avoids except.
 func (s *Steerer) place(now time.Time, r *route, except *server) *server {
 	for range r.Shares {
@@ -36,46 +47,70 @@
 	return best
 }
 
-// pick returns the backend server with the fewest open flows in the own availability zone, or elsewhere when it has none
-// to offer. Ties are broken at random, because daemons that break them alike would choose the same one at once.
+// pick returns the backend server with the least load. Ties are broken at random, because daemons that break them alike
+// would choose the same one at once.
 func (s *Steerer) pick(now time.Time, list []*server, except *server) *server {
+	abroad := s.loadAbroad(list)
 	var best *server
-	bestRank, ties := 0, 0
+	var least float64
+	ties := 0
 	for _, b := range list {
 		if b.Leaving || b == except {
 			continue
 		}
-		rank := s.rank(now, b)
+		load := float64(b.flows) / float64(b.Slots)
+		if b.AvailabilityZone != s.c.AvailabilityZone {
+			load += abroad
+		}
+		if b.suspected() {
+			if b.trialDue(now) {
+				b.tried(now)
+				return b
+			}
+			load += suspicion
+		}
 		switch {
-		case best == nil || rank < bestRank:
-			best, bestRank, ties = b, rank, 1
-		case rank == bestRank:
+		case best == nil || load < least:
+			best, least, ties = b, load, 1
+		case load == least:
 			ties++
 			if s.c.Random.IntN(ties) == 0 {
 				best = b
 			}
 		}
 	}
-	if best != nil && best.suspected() {
-		best.trial = now
-	}
 	return best
 }
 
-// Penalties of rank, in flows. A flow count never reaches them.
-const (
-	otherZone = 1 << 20
-	suspicion = 1 << 21
-)
-
-// rank orders the candidates for a new flow: lower is better.
-func (s *Steerer) rank(now time.Time, b *server) int {
-	rank := b.flows * 1024 / max(b.Slots, 1)
-	if b.AvailabilityZone != s.c.AvailabilityZone {
-		rank += otherZone
+// loadAbroad estimates the load that a backend server in another availability zone has from the daemons there, in flows
+// per slot of this daemon's count, with the price of crossing. Daemons get alike shares of the callers, so that the mean
+// load of the fleet is this daemon's flows over the slots that its zone would have if the slots were spread evenly.
+func (s *Steerer) loadAbroad(list []*server) float64 {
+	flows, slots, zones := 0, 0, 0
+	s.zoneSet = s.zoneSet[:0]
+	for _, b := range list {
+		flows += b.flows
+		if b.Leaving || b.suspected() {
+			continue
+		}
+		slots += b.Slots
+		if !containsZone(s.zoneSet, b.AvailabilityZone) {
+			s.zoneSet = append(s.zoneSet, b.AvailabilityZone)
+			zones++
+		}
 	}
-	if b.suspected() && now.Sub(b.trial) < trialInterval {
-		rank += suspicion
+	if slots == 0 {
+		return spillFlows
+	}
+	mean := float64(flows) * float64(max(zones, s.zones)) / float64(slots)
+	return mean*spillFactor + spillFlows
+}
+
+func containsZone(zones []string, zone string) bool {
+	for _, z := range zones {
+		if z == zone {
+			return true
+		}
 	}
-	return rank
+	return false
 }
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -31,21 +31,22 @@
 	CauseNone Cause = iota
 	Established
 	Placed
-	Copied          // a copy of an opening packet went where the first one went
-	Moved           // a copy of an opening packet went to another backend server
-	NoRoute         // no route has the address
-	RouteRemoved    // the route of the flow was removed
-	NoBackendServer // no backend server can take the flow
-	UnknownTag      // the tag names no known backend server
-	ForeignTag      // the tag names a backend server of a service that the route never allowed
-	BackendServerGone
-	NotReady // no configuration has arrived yet
+	Copied              // a copy of an opening packet went where the first one went
+	Moved               // a copy of an opening packet went to another backend server
+	NoRoute             // no route has the address
+	RouteRemoved        // the route of the flow was removed
+	NoBackendServer     // no backend server can take the flow
+	UnknownTag          // the tag names no known backend server
+	ForeignTag          // the tag names a backend server of a service that the route never allowed
+	BackendServerGone   // the entry of the flow's backend server is gone
+	BackendServerSilent // the flow's backend server answers nobody
+	NotReady            // no configuration has arrived yet
 	causes
 )
 
 var causeNames = [causes]string{
 	"none", "established", "placed", "copied", "moved", "no-route", "route-removed", "no-backend-server", "unknown-tag",
-	"foreign-tag", "backend-server-gone", "not-ready",
+	"foreign-tag", "backend-server-gone", "backend-server-silent", "not-ready",
 }
 
 // String returns the name of the cause as logs and metrics spell it.
@@ -90,6 +91,8 @@
 	services map[string][]*server
 	tags     *tagger.Table
 	flows    map[flowKey]*flow
+	zones    int      // availability zones with backend servers
+	zoneSet  []string // scratch of loadAbroad
 }
 
 // New returns a Steerer that knows no route and no backend server.
@@ -143,14 +146,27 @@
 	if !r.allowed[target.Service] {
 		return Decision{Cause: ForeignTag, Server: target.ID}
 	}
-	if target.goneFor(now) > goneConfirmation && !p.Flags.RST {
-		s.forget(key)
-		return Decision{Action: Reset, Cause: BackendServerGone, Server: target.ID, Address: target.Address}
-	}
 	s.observe(now, key, p, target)
+	if !p.Flags.RST {
+		if cause := target.lost(now); cause != CauseNone {
+			s.forget(key)
+			return Decision{Action: Reset, Cause: cause, Server: target.ID, Address: target.Address}
+		}
+	}
 	return Decision{Action: Forward, Cause: Established, Server: target.ID, Address: target.Address, Tag: p.Tag}
 }
 
+// lost tells why the flows of a backend server can't go on, CauseNone when they can.
+func (b *server) lost(now time.Time) Cause {
+	switch {
+	case b.goneFor(now) > goneConfirmation:
+		return BackendServerGone
+	case b.silent(now):
+		return BackendServerSilent
+	}
+	return CauseNone
+}
+
 // open decides about an opening packet.
 func (s *Steerer) open(now time.Time, p *editor.Packet, r *route) Decision {
 	key := flowKey{p.Source, p.Destination}
@@ -173,10 +189,11 @@
 // server may be down or full, so the copy goes to another one. Copies that arrive close together were held up on
 // the way, and two answers at once would confuse the caller: they follow the first.
 func (s *Steerer) repeat(now time.Time, key flowKey, f *flow, r *route) Decision {
-	if now.Sub(f.placed) < copySpacing {
+	if now.Sub(f.placed) < repeatSpacing {
 		return s.send(f.server, Copied)
 	}
 	f.server.strike(now, f)
+	f.struck = false // the next copy may count against the next backend server
 	target := s.place(now, r, f.server)
 	if target == nil {
 		f.placed = now
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -125,15 +125,18 @@
 func (s *Steerer) index() {
 	ids := make([]uint64, 0, len(s.servers))
 	s.services = make(map[string][]*server)
+	zones := make(map[string]bool)
 	for id, b := range s.servers {
 		ids = append(ids, uint64(id))
 		if b.gone.IsZero() {
 			s.services[b.Service] = append(s.services[b.Service], b)
+			zones[b.AvailabilityZone] = true
 		}
 	}
 	for _, list := range s.services {
 		slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	s.zones = len(zones)
 	s.tags = tagger.New(ids)
 }
 
