follower: daemons share what they read of the platform

Change: the packages lister and pacer decide what is believed, how old it is and when to read; daemons tell each other over the peer socket (notices beside the heartbeats), ask for whole documents in parts, and relay across zones. The configuration is checked within its bound also while a watch waits.

--- /dev/null
+++ b/internal/direct/follower/exchange.go
@@ -0,0 +1,257 @@
+package follower
+
+import (
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebelldyke/bluebelldyke/modules/packer"
+	"github.com/bluebelldyke/bluebelldyke/modules/ranker"
+	"github.com/bluebelldyke/bluebelldyke/services/lister"
+)
+
+const (
+	// contactsPerZone is how many daemons of another availability zone are told: the second one covers the loss of a
+	// datagram or of the first one.
+	contactsPerZone = 2
+	// transit is added to the age of what a peer tells, for the way of the message.
+	transit = 20 * time.Millisecond
+	// partSize is the length of the parts in which a whole document is sent: one fits a datagram.
+	partSize = 1100
+	// maxParts bounds a document: a list of 29,000 backend servers takes 1.3 MB.
+	maxParts = 2048
+	// askInterval is the shortest time between two requests for the same document: it covers the transfer of a usual one.
+	askInterval = 150 * time.Millisecond
+)
+
+// announce tells the peers what this daemon believes, with the difference to the list before, if there is one.
+func (f *Follower) announce(d *lister.Delta) {
+	f.mu.Lock()
+	n := f.news(d)
+	f.mu.Unlock()
+	f.tell(n, f.audience(true))
+}
+
+// news returns what this daemon believes. The caller holds mu.
+func (f *Follower) news(d *lister.Delta) *news {
+	now := time.Now()
+	n := &news{zone: f.c.AvailabilityZone}
+	if f.configuration != nil {
+		n.configVersion, n.configAge = f.configuration.Version, now.Sub(f.configAsOf)
+	}
+	if f.servers.Known() {
+		n.listingAge = now.Sub(f.servers.AsOf())
+		n.delta = lister.Delta{Revision: f.servers.Revision(), Base: f.servers.Digest(), Digest: f.servers.Digest()}
+		if d != nil && d.Digest == f.servers.Digest() {
+			n.delta = *d
+		}
+	}
+	return n
+}
+
+// audience returns the members of the own availability zone and, when abroad is set, contacts in each other one.
+func (f *Follower) audience(abroad bool) []netip.AddrPort {
+	var list []netip.AddrPort
+	contacts := map[string][]netip.AddrPort{}
+	for _, m := range f.c.Peers.Members() {
+		switch {
+		case m.State == packer.StateDead || m.Leaving:
+		case m.AvailabilityZone == f.c.AvailabilityZone:
+			list = append(list, m.Address)
+		case abroad:
+			contacts[m.AvailabilityZone] = append(contacts[m.AvailabilityZone], m.Address)
+		}
+	}
+	for zone, members := range contacts {
+		list = append(list, ranker.Top("contact "+zone, contactsPerZone, members)...)
+	}
+	return list
+}
+
+func (f *Follower) tell(n *news, to []netip.AddrPort) {
+	payload, err := n.encode()
+	if err != nil {
+		f.c.Logger.Error("news not encoded", zap.Error(err))
+		return
+	}
+	if len(payload) > partSize {
+		// Too much for a datagram: peers that need it ask for the whole list.
+		n.delta.Changed, n.delta.Removed = nil, nil
+		n.delta.Base = n.delta.Digest
+		if payload, err = n.encode(); err != nil {
+			f.c.Logger.Error("news not encoded", zap.Error(err))
+			return
+		}
+	}
+	for _, address := range to {
+		f.c.Peers.Notify(address, payload)
+	}
+}
+
+// Notified takes a message of a peer.
+func (f *Follower) Notified(from netip.AddrPort, payload []byte) {
+	m, err := decode(payload)
+	if err != nil {
+		f.c.Logger.Debug("message of a peer not understood", zap.Stringer("peer", from), zap.Error(err))
+		return
+	}
+	switch m := m.(type) {
+	case *news:
+		f.heard(from, m)
+	case *request:
+		f.serve(from, m.document)
+	case *part:
+		f.collect(m)
+	}
+}
+
+// heard takes the beliefs of a peer, and tells the own zone when they came from another one.
+func (f *Follower) heard(from netip.AddrPort, n *news) {
+	now := time.Now()
+	f.mu.Lock()
+	fresher := false
+	if n.delta.Revision > 0 {
+		asOf := now.Add(-n.listingAge - transit)
+		before := f.servers.AsOf()
+		outcome := f.servers.Apply(asOf, &n.delta)
+		f.apply(outcome)
+		if outcome == lister.Foreign {
+			f.request(from, listingDocument)
+		}
+		fresher = f.servers.AsOf().After(before)
+	}
+	switch {
+	case n.configVersion == 0:
+	case f.configuration == nil || n.configVersion > f.configuration.Version:
+		f.request(from, configurationDocument)
+		signal(f.configReads)
+	case n.configVersion == f.configuration.Version:
+		before := f.configAsOf
+		f.adopt(nil, now.Add(-n.configAge-transit))
+		fresher = fresher || f.configAsOf.After(before)
+	}
+	var forward *news
+	if fresher && n.zone != f.c.AvailabilityZone {
+		forward = f.news(&n.delta)
+	}
+	f.mu.Unlock()
+	if forward != nil {
+		f.tell(forward, f.audience(false))
+	}
+}
+
+// ask requests a document from a random peer, or from a seed while no peer is known.
+func (f *Follower) ask(document document) {
+	peers := f.c.Seeds
+	if members := f.audience(true); len(members) > 0 {
+		peers = members
+	}
+	if len(peers) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.request(peers[f.c.Random.IntN(len(peers))], document)
+}
+
+// request asks a peer for a document, at most once per askInterval. The caller holds mu.
+func (f *Follower) request(from netip.AddrPort, document document) {
+	now := time.Now()
+	if from == f.c.Peers.Address() || now.Sub(f.asked[document]) < askInterval {
+		return
+	}
+	f.asked[document] = now
+	payload, err := (&request{document: document}).encode()
+	if err == nil {
+		f.c.Peers.Notify(from, payload)
+	}
+}
+
+// serve sends a whole document.
+func (f *Follower) serve(to netip.AddrPort, document document) {
+	now := time.Now()
+	f.mu.Lock()
+	p := part{document: document}
+	var content []byte
+	var err error
+	switch {
+	case document == listingDocument && f.servers.Known():
+		p.stamp, p.digest, p.age = f.servers.Revision(), f.servers.Digest(), now.Sub(f.servers.AsOf())
+		content, err = encodeListing(f.servers.Listing())
+	case document == configurationDocument && f.configuration != nil:
+		p.stamp, p.age = f.configuration.Version, now.Sub(f.configAsOf)
+		content, err = encodeConfiguration(f.configuration)
+	}
+	f.mu.Unlock()
+	if err != nil || content == nil {
+		return
+	}
+	p.count = (len(content) + partSize - 1) / partSize
+	for p.index = 0; p.index < p.count; p.index++ {
+		p.content = content[p.index*partSize : min((p.index+1)*partSize, len(content))]
+		payload, err := p.encode()
+		if err != nil {
+			f.c.Logger.Error("part of a document not encoded", zap.Error(err))
+			return
+		}
+		f.c.Peers.Notify(to, payload)
+	}
+}
+
+// transfer is a document that arrives in parts.
+type transfer struct {
+	stamp, digest uint64
+	parts         [][]byte
+	missing       int
+}
+
+// add takes a part and returns the whole content when it was the last one.
+func (t *transfer) add(p *part) []byte {
+	if t.stamp != p.stamp || t.digest != p.digest || len(t.parts) != p.count {
+		*t = transfer{stamp: p.stamp, digest: p.digest, parts: make([][]byte, p.count), missing: p.count}
+	}
+	if t.parts[p.index] != nil {
+		return nil
+	}
+	t.parts[p.index] = p.content
+	if t.missing--; t.missing > 0 {
+		return nil
+	}
+	var content []byte
+	for _, b := range t.parts {
+		content = append(content, b...)
+	}
+	*t = transfer{}
+	return content
+}
+
+// collect takes a part of a document, and the document with its last part.
+func (f *Follower) collect(p *part) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	content := f.incoming[p.document].add(p)
+	if content == nil {
+		return
+	}
+	asOf := time.Now().Add(-p.age - transit)
+	switch p.document {
+	case listingDocument:
+		l, err := decodeListing(content)
+		if err != nil {
+			f.c.Logger.Warn("list of a peer not understood: check that all daemons run compatible versions", zap.Error(err))
+			return
+		}
+		l.Revision = p.stamp
+		_, outcome := f.servers.Replace(asOf, l)
+		f.apply(outcome)
+	case configurationDocument:
+		c, err := decodeConfiguration(content)
+		if err != nil {
+			f.c.Logger.Warn("configuration of a peer not understood: check that all daemons run compatible versions", zap.Error(err))
+			return
+		}
+		c.Version = p.stamp
+		f.adopt(c, asOf)
+	}
+}
--- a/internal/direct/follower/follower.go
+++ b/internal/direct/follower/follower.go
@@ -1,9 +1,12 @@
-// Package follower keeps the configuration and the list of backend servers of one daemon current.
+// Package follower keeps the configuration and the list of backend servers of one daemon current: it reads the platform
+// when what it knows is too old and exchanges what it reads with its peers.
 package follower
 
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -12,17 +15,22 @@
 
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/modules/fetcher"
+	"github.com/bluebelldyke/bluebelldyke/modules/packer"
+	"github.com/bluebelldyke/bluebelldyke/services/lister"
+	"github.com/bluebelldyke/bluebelldyke/services/pacer"
 )
 
 const (
 	// watchWait is how long one watch call waits for a change: the longest that the platform permits.
 	watchWait = 30 * time.Second
-	// listInterval is the time between two reads of the list of backend servers.
-	listInterval = 800 * time.Millisecond
-	// retryMin and retryMax bound the delay after a failed call. The list must be read again within the bound on leaving
-	// backend servers (3 s) of the platform's return.
-	retryMin = 100 * time.Millisecond
-	retryMax = 800 * time.Millisecond
+	// retryMin and retryMax bound the delay after a failed call of the first daemon in the order of reading; retryStep is
+	// added to retryMax for each rank, up to retrySteps: while the platform is away, calls are still counted.
+	retryMin   = 100 * time.Millisecond
+	retryMax   = 800 * time.Millisecond
+	retryStep  = 200 * time.Millisecond
+	retrySteps = 10
+	// paceInterval is how often the ages are looked at.
+	paceInterval = 100 * time.Millisecond
 )
 
 // ErrHistoryLost is returned by a Source that no longer has the changes after a revision.
@@ -33,7 +41,7 @@
 
 // Source is the platform that publishes both.
 type Source interface {
-	// Configuration returns the newest configuration and its revision.
+	// Configuration returns the newest configuration and the platform's revision.
 	Configuration(ctx context.Context) (*directory.Configuration, uint64, error)
 	// AwaitConfiguration waits for a configuration after the revision. It returns none when wait passes without a change.
 	AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (*directory.Configuration, uint64, error)
@@ -47,84 +55,96 @@
 	SetListing(l *directory.Listing)
 }
 
+// Peers are the other daemons.
+type Peers interface {
+	Address() netip.AddrPort
+	Members() []packer.Member
+	Zone() []netip.AddrPort
+	Notify(to netip.AddrPort, payload []byte) bool
+}
+
+// Bounds are the longest times until a change is in force.
+type Bounds struct{ Leaving, Configuration time.Duration }
+
 // Config holds what a Follower is made of.
 type Config struct {
-	Source Source
-	Sink   Sink
-	Logger *zap.Logger
-	Random *rand.Rand
+	Source           Source
+	Sink             Sink
+	Peers            Peers
+	Logger           *zap.Logger
+	Random           *rand.Rand
+	AvailabilityZone string
+	Zones            []string
+	Seeds            []netip.AddrPort
+	Bounds           Bounds
 }
 
-// Follower follows the platform for one daemon.
+// Follower follows the platform for one daemon. It is safe for concurrent use.
 type Follower struct {
-	c Config
+	c             Config
+	zoneRank      int
+	listingPace   pacer.Pacer
+	configPace    pacer.Pacer
+	listingReads  chan struct{} // asks for a read of the list at once
+	configReads   chan struct{}
+	mu            sync.Mutex
+	servers       *lister.Lister
+	configuration *directory.Configuration
+	configAsOf    time.Time // when the configuration was the newest
+	configAt      uint64    // the platform's revision then
+	incoming      [documents]transfer
+	asked         [documents]time.Time
 }
 
 // New returns a Follower.
-func New(c Config) *Follower { return &Follower{c: c} }
+func New(c Config) *Follower {
+	return &Follower{
+		c: c, zoneRank: pacer.RankZone(c.AvailabilityZone, c.Zones), servers: lister.New(),
+		listingPace: pacer.Pacer{Bound: c.Bounds.Leaving}, configPace: pacer.Pacer{Bound: c.Bounds.Configuration},
+		listingReads: make(chan struct{}, 1), configReads: make(chan struct{}, 1),
+	}
+}
 
 // Run follows the platform until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { f.followConfiguration(ctx); return nil })
-	group.Go(func() error { f.followListing(ctx); return nil })
+	group.Go(func() error { f.watchConfiguration(ctx); return nil })
+	group.Go(func() error { f.checkConfiguration(ctx); return nil })
+	group.Go(func() error { f.readListing(ctx); return nil })
 	return group.Wait()
 }
 
-func (f *Follower) backoff() *fetcher.Backoff {
-	return &fetcher.Backoff{Min: retryMin, Max: retryMax, Random: rand.New(rand.NewPCG(f.c.Random.Uint64(), f.c.Random.Uint64()))}
+// rank returns this daemon's place in the order of reading.
+func (f *Follower) rank() pacer.Rank {
+	return pacer.Rank{Zone: f.zoneRank, Member: pacer.RankMember(f.c.AvailabilityZone, f.c.Peers.Address(), f.c.Peers.Zone())}
 }
 
-func (f *Follower) followConfiguration(ctx context.Context) {
-	backoff := f.backoff()
-	var revision, version uint64
-	for ctx.Err() == nil {
-		var c *directory.Configuration
-		var at uint64
-		var err error
-		if revision == 0 {
-			c, at, err = f.c.Source.Configuration(ctx)
-		} else {
-			c, at, err = f.c.Source.AwaitConfiguration(ctx, revision, watchWait)
-		}
-		if err != nil {
-			if IsErrHistoryLost(err) {
-				revision = 0
-				continue
-			}
-			f.c.Logger.Debug("configuration not read", zap.Error(err))
-			sleep(ctx, backoff.Next())
-			continue
-		}
-		backoff.Reset()
-		revision = at
-		if c != nil && c.Version > version {
-			version = c.Version
-			f.c.Sink.SetConfiguration(c)
-		}
-	}
+// newBackoff returns delays that grow with the rank.
+func (f *Follower) newBackoff() *fetcher.Backoff {
+	return &fetcher.Backoff{Min: retryMin, Max: retryMax, Random: rand.New(rand.NewPCG(f.c.Random.Uint64(), f.c.Random.Uint64()))}
 }
 
-func (f *Follower) followListing(ctx context.Context) {
-	backoff := f.backoff()
-	for ctx.Err() == nil {
-		l, err := f.c.Source.Listing(ctx)
-		if err != nil {
-			f.c.Logger.Debug("list of backend servers not read", zap.Error(err))
-			sleep(ctx, backoff.Next())
-			continue
-		}
-		backoff.Reset()
-		f.c.Sink.SetListing(l)
-		sleep(ctx, listInterval)
-	}
+func (f *Follower) retry(ctx context.Context, b *fetcher.Backoff) {
+	r := f.rank()
+	b.Max = retryMax + time.Duration(min(2*r.Zone+r.Member, retrySteps))*retryStep
+	sleep(ctx, b.Next(), nil)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// sleep waits for d, or less when wake is signalled.
+func sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-wake:
+	}
+}
+
+// signal wakes the reader of c, if it is not already signalled.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
 }
--- a/internal/direct/loader/loader.go
+++ b/internal/direct/loader/loader.go
@@ -16,24 +16,33 @@
 const (
 	minGrace = time.Second
 	maxGrace = time.Hour
+	// minBound leaves room for a call that takes half a second and its repetition.
+	minBound = time.Second
+	maxBound = time.Hour
 )
 
 // Settings are the process settings.
 type Settings struct {
 	Name             string // of the VM
 	AvailabilityZone string
-	Entry            netip.AddrPort // where the fabric sends packets of callers
-	Readiness        netip.AddrPort
-	Peer             Peer
-	PlatformURL      string
+	// Zones are all availability zones of the fleet.
+	Zones       []string
+	Entry       netip.AddrPort // where the fabric sends packets of callers
+	Readiness   netip.AddrPort
+	Peer        Peer
+	PlatformURL string
 	// Grace is the time between the signal to stop and the end of the process by force.
 	Grace time.Duration
-	Log   Log
+	// LeavingBound is the longest time until a backend server that leaves gets no new flows, ConfigurationBound that until
+	// a change of the configuration is in force.
+	LeavingBound, ConfigurationBound time.Duration
+	Log                              Log
 }
 
 // Peer is the side that faces the other daemons.
 type Peer struct {
 	Bind  netip.AddrPort
+	Key   [configurer.KeySize]byte
 	Seeds []netip.AddrPort
 }
 
@@ -54,14 +63,16 @@
 	report := inspector.NewReport(file)
 	root := inspector.Open(report, content)
 	var s Settings
-	root.Require("add the key; deploy/direct.toml.template shows it", "name", "availability-zone", "entry", "readiness", "peer", "platform", "stop")
+	root.Require("add the key; deploy/direct.toml.template shows it", "name", "availability-zone", "entry", "readiness", "peer", "platform", "stop", "bounds")
 	s.Name, _ = root.Text("name")
 	s.AvailabilityZone, _ = root.Text("availability-zone")
+	s.Zones, _ = root.Texts("availability-zones")
 	s.Entry = readBind(root.Table("entry"))
 	s.Readiness = readBind(root.Table("readiness"))
 	s.Peer = readPeer(root.Table("peer"))
 	s.PlatformURL = readPlatform(root.Table("platform"))
 	s.Grace = readGrace(root.Table("stop"))
+	s.LeavingBound, s.ConfigurationBound = readBounds(root.Table("bounds"))
 	s.Log = readLog(root.Table("log"))
 	root.Close()
 	return s, report.Err()
@@ -76,8 +87,10 @@
 
 func readPeer(t *inspector.Table) Peer {
 	t.Require("write the IP address and port of the peer socket", "bind")
+	t.Require("write the fleet key, the same 64 hexadecimal digits on every daemon", "key")
 	var p Peer
 	p.Bind, _ = t.AddrPort("bind")
+	p.Key = configurer.ReadKey(t)
 	seeds, _ := t.Texts("seeds")
 	for i, text := range seeds {
 		seed, err := netip.ParseAddrPort(text)
@@ -110,6 +123,14 @@
 	return grace
 }
 
+func readBounds(t *inspector.Table) (leaving, configuration time.Duration) {
+	t.Require("write the longest time until a change is in force", "leaving", "configuration")
+	leaving, _ = t.Duration("leaving", minBound, maxBound)
+	configuration, _ = t.Duration("configuration", minBound, maxBound)
+	t.Close()
+	return leaving, configuration
+}
+
 func readLog(t *inspector.Table) Log {
 	l := Log{Level: "info", Format: "json"}
 	if level, ok := t.Choice("level", "debug", "info", "warn", "error"); ok {
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/responder"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+	"github.com/bluebelldyke/bluebelldyke/routers/peers"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
 
@@ -47,6 +48,7 @@
 	fx.In
 	Settings    loader.Settings
 	Logger      *zap.Logger
+	Peers       *peers.Peers
 	Follower    *follower.Follower
 	Transporter *transporter.Transporter
 	Responder   *responder.Responder
@@ -59,7 +61,7 @@
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(c.Settings, c.Layout),
-		fx.Provide(func() follower.Source { return c.Source }, newRandom, newLogger, newTransporter, newFollower, newResponder),
+		fx.Provide(func() follower.Source { return c.Source }, newRandom, newLogger, newTransporter, newPeers, newFollower, newResponder),
 		fx.Invoke(func(in duties) { d = in }),
 	)
 	if err := app.Err(); err != nil {
@@ -90,8 +92,22 @@
 	})
 }
 
-func newFollower(source follower.Source, t *transporter.Transporter, logger *zap.Logger) *follower.Follower {
-	return follower.New(follower.Config{Source: source, Sink: t, Logger: logger, Random: newRandom()})
+func newPeers(s loader.Settings, logger *zap.Logger) (*peers.Peers, error) {
+	return peers.New(peers.Config{
+		Bind: s.Peer.Bind, Advertise: s.Peer.Bind, AvailabilityZone: s.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli()),
+		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Logger: logger, Random: newRandom(),
+	})
+}
+
+func newFollower(
+	s loader.Settings, source follower.Source, t *transporter.Transporter, p *peers.Peers, logger *zap.Logger,
+) *follower.Follower {
+	f := follower.New(follower.Config{
+		Source: source, Sink: t, Peers: p, Logger: logger, Random: newRandom(), AvailabilityZone: s.AvailabilityZone, Zones: s.Zones,
+		Seeds: s.Peer.Seeds, Bounds: follower.Bounds{Leaving: s.LeavingBound, Configuration: s.ConfigurationBound},
+	})
+	p.Subscribe(f)
+	return f
 }
 
 func newResponder(s loader.Settings, logger *zap.Logger) (*responder.Responder, error) {
@@ -104,6 +120,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return d.Peers.Run(work) })
 	group.Go(func() error { return d.Follower.Run(work) })
 	group.Go(func() error { return d.Transporter.Run(work) })
 	group.Go(func() error { return d.Responder.Run(work) })
@@ -135,6 +152,7 @@
 func (d *duties) stop(work context.Context) {
 	d.Logger.Info("daemon stops", zap.Duration("grace", d.Settings.Grace))
 	d.Responder.SetReady(false)
+	d.Peers.Leave()
 	deadline := time.Now().Add(d.Settings.Grace - graceReserve)
 	before := d.Responder.Refused()
 	for work.Err() == nil && time.Now().Before(deadline) && d.Responder.Refused() < before+refusals {
--- a/modules/configurer/parse.go
+++ b/modules/configurer/parse.go
@@ -73,7 +73,7 @@
 	} else if p.Bind.IsValid() && (p.Bind.Addr().IsUnspecified() || p.Bind.Port() == 0) {
 		t.Problem("advertise", "missing, and bind names no single address", "write the address at which other daemons reach this one")
 	}
-	p.Key = readKey(t)
+	p.Key = ReadKey(t)
 	seeds, _ := t.Texts("seeds")
 	for i, text := range seeds {
 		seed, err := netip.ParseAddrPort(text)
@@ -87,8 +87,8 @@
 	return p
 }
 
-// readKey returns the fleet key. Problems do not repeat the text, which is confidential.
-func readKey(t *inspector.Table) (key [KeySize]byte) {
+// ReadKey returns the fleet key. Problems do not repeat the text, which is confidential.
+func ReadKey(t *inspector.Table) (key [KeySize]byte) {
 	text, ok := t.Secret("key")
 	if !ok {
 		return key
--- a/modules/packer/datagram.go
+++ b/modules/packer/datagram.go
@@ -23,6 +23,7 @@
 	KindAck         Kind = 2
 	KindPingRequest Kind = 3
 	KindGateForward Kind = 4
+	KindNotice      Kind = 5
 )
 
 // String returns the name of the kind.
@@ -36,6 +37,8 @@
 		return "ping-request"
 	case KindGateForward:
 		return "gate-forward"
+	case KindNotice:
+		return "notice"
 	}
 	return "unknown"
 }
@@ -110,9 +113,10 @@
 	Updates  []Member
 	// Reports are health reports; they stay within MaxReportBytes.
 	Reports []Report
-	// Caller, Service and Payload are set in a gate-forward only.
+	// Caller and Service are set in a gate-forward only.
 	Caller, Service netip.AddrPort
-	Payload         []byte
+	// Payload is a caller datagram in a gate-forward, and a message between daemons in a notice.
+	Payload []byte
 }
 
 const (
@@ -158,6 +162,12 @@
 	Payload         []byte
 }
 
+type wireNotice struct {
+	_       struct{} `cbor:",toarray"`
+	Kind    uint8
+	Payload []byte
+}
+
 var decoding = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		MaxArrayElements: 64, MaxNestedLevels: 4, MaxMapPairs: 16, IndefLength: cbor.IndefLengthForbidden,
@@ -176,6 +186,9 @@
 			Payload: d.Payload,
 		})
 	}
+	if d.Kind == KindNotice {
+		return cbor.Marshal(wireNotice{Kind: uint8(d.Kind), Payload: d.Payload})
+	}
 	if len(d.Updates) > MaxUpdates || len(d.Versions.Places) > MaxPlaceVersions {
 		return nil, ErrOversized
 	}
@@ -213,10 +226,17 @@
 // Decode reads the CBOR body of a datagram, without its seal. The sender's address and incarnation are in the header
 // and stay unset.
 func Decode(body []byte) (Datagram, error) {
-	// The first element of both arrays is the kind: a one-byte CBOR integer after the one-byte array head.
+	// The first element of all arrays is the kind: a one-byte CBOR integer after the one-byte array head.
 	if len(body) > 1 && Kind(body[1]) == KindGateForward {
 		return decodeForward(body)
 	}
+	if len(body) > 1 && Kind(body[1]) == KindNotice {
+		var w wireNotice
+		if err := decoding.Unmarshal(body, &w); err != nil {
+			return Datagram{}, eris.Wrapf(ErrMalformed, "%v", err)
+		}
+		return Datagram{Kind: KindNotice, Payload: w.Payload}, nil
+	}
 	var w wireProbe
 	if err := decoding.Unmarshal(body, &w); err != nil {
 		return Datagram{}, eris.Wrapf(ErrMalformed, "%v", err)
--- a/routers/peers/counts.go
+++ b/routers/peers/counts.go
@@ -17,7 +17,7 @@
 type traffic struct{ sentDatagrams, sentBytes, receivedDatagrams, receivedBytes atomic.Uint64 }
 
 type counts struct {
-	kinds                              [packer.KindGateForward + 1]traffic
+	kinds                              [packer.KindNotice + 1]traffic
 	forged, replayed, malformed        atomic.Uint64
 	oversized, readErrors, writeErrors atomic.Uint64
 	forwardsDropped                    atomic.Uint64
@@ -49,7 +49,7 @@
 // Traffic returns the traffic by kind since the start.
 func (p *Peers) Traffic() map[packer.Kind]Traffic {
 	result := make(map[packer.Kind]Traffic)
-	for k := packer.KindPing; k <= packer.KindGateForward; k++ {
+	for k := packer.KindPing; k <= packer.KindNotice; k++ {
 		t := &p.counts.kinds[k]
 		result[k] = Traffic{
 			t.sentDatagrams.Load(), t.sentBytes.Load(), t.receivedDatagrams.Load(), t.receivedBytes.Load(),
@@ -87,7 +87,7 @@
 		return eris.Wrap(err, "metric peer.zone-members")
 	}
 	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		for k := packer.KindPing; k <= packer.KindGateForward; k++ {
+		for k := packer.KindPing; k <= packer.KindNotice; k++ {
 			kind := attribute.String("kind", k.String())
 			in := metric.WithAttributes(kind, attribute.String("direction", "in"))
 			out := metric.WithAttributes(kind, attribute.String("direction", "out"))
--- a/routers/peers/peers.go
+++ b/routers/peers/peers.go
@@ -46,6 +46,12 @@
 	Reported(now time.Time, reports []packer.Report)
 }
 
+// Notices takes the notices of other daemons. Its method must not block.
+type Notices interface {
+	// Notified takes the payload of a notice, which is a new slice.
+	Notified(from netip.AddrPort, payload []byte)
+}
+
 // GateForward is a caller datagram on its way to the gate that its token names.
 type GateForward struct {
 	Caller, Service netip.AddrPort
@@ -83,6 +89,7 @@
 	gossiper  *gossiper.Gossiper
 	documents Documents
 	reports   Reports
+	notices   Notices
 }
 
 // New returns a Peers with its socket open.
@@ -133,6 +140,14 @@
 	p.gossiper.SetReporter(r)
 }
 
+// Subscribe sets the receiver of notices. It is called before Run.
+func (p *Peers) Subscribe(n Notices) { p.notices = n }
+
+// Notify sends a notice to the daemon that advertises the address. True does not mean that it arrives.
+func (p *Peers) Notify(to netip.AddrPort, payload []byte) bool {
+	return p.send(time.Now(), to, &packer.Datagram{Kind: packer.KindNotice, Payload: payload})
+}
+
 // Run serves the socket until ctx ends.
 func (p *Peers) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -181,7 +196,13 @@
 		return
 	}
 	p.counts.received(d.Kind, len(b))
-	if d.Kind == packer.KindGateForward {
+	switch d.Kind {
+	case packer.KindNotice:
+		if p.notices != nil {
+			p.notices.Notified(d.Sender.Address, d.Payload)
+		}
+		return
+	case packer.KindGateForward:
 		select {
 		case p.forwarded <- GateForward{Caller: d.Caller, Service: d.Service, Datagram: d.Payload}:
 		default:
