follower: two watchers a zone, documents from peers, sleep until due

Cause: on the grown sites a zone without a seed never found itself, so each of its daemons read for itself; every daemon watched; the pace was looked at ten times a second. Change: the gossiper introduces members of the joining daemon's own zone (test fails before); two daemons of a zone watch; a new daemon and one that hears of a newer configuration asks a peer first; readers sleep until they are due.

--- a/internal/direct/follower/configuration.go
+++ b/internal/direct/follower/configuration.go
@@ -7,6 +7,18 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
+	"github.com/bluebelldyke/bluebelldyke/modules/fetcher"
+)
+
+const (
+	// watchers is the number of daemons of each availability zone that watch the configuration; the others learn of a
+	// change from them. The second one covers the loss of the first.
+	watchers = 2
+	// watchPause is the time between two looks at whether this daemon is to watch.
+	watchPause = 500 * time.Millisecond
+	// absentPause is how long a configuration that does not exist is not asked for: the operator writes the first one
+	// seconds before traffic starts.
+	absentPause = 500 * time.Millisecond
 )
 
 // watchConfiguration waits for changes, so that a change is in force at once.
@@ -16,14 +28,17 @@
 		f.mu.Lock()
 		after := f.configAt
 		f.mu.Unlock()
-		if after == 0 { // checkConfiguration reads the first one
-			sleep(ctx, paceInterval, nil)
+		if after == 0 || f.rank().Member >= watchers { // checkConfiguration reads the first one
+			sleep(ctx, watchPause, nil)
 			continue
 		}
 		started := time.Now()
 		c, at, err := f.c.Source.AwaitConfiguration(ctx, after, watchWait)
 		switch {
 		case IsErrHistoryLost(err):
+			f.mu.Lock()
+			f.configAsOf = time.Time{}
+			f.mu.Unlock()
 			signal(f.configReads)
 			f.retry(ctx, backoff)
 		case err != nil:
@@ -31,7 +46,9 @@
 			f.retry(ctx, backoff)
 		default:
 			backoff.Reset()
-			f.read(c, at, started)
+			if f.read(c, at, started) {
+				f.announce(nil)
+			}
 		}
 	}
 }
@@ -40,23 +57,28 @@
 // have gone silent.
 func (f *Follower) checkConfiguration(ctx context.Context) {
 	backoff := f.newBackoff()
-	asked := false
+	asked := f.join(ctx, configurationDocument, func() bool { return f.configuration != nil })
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		at, known := f.configAt, f.configuration != nil
-		due := !known || !time.Now().Before(f.configPace.Due(f.configAsOf, f.rank()))
+		due := f.configPace.Due(f.configAsOf, f.rank())
+		if wanted := f.wantedAt.Add(wantedWait); f.wanted > 0 && wanted.Before(due) && f.wanted > f.configuration.Version {
+			due = wanted
+		}
 		f.mu.Unlock()
 		if !known {
 			f.ask(configurationDocument)
-		}
-		if !due && !asked {
-			asked = f.pause(ctx, f.configReads)
+		} else if wait := time.Until(due); wait > 0 && !asked {
+			sleep(ctx, wait, f.configReads)
 			continue
 		}
 		started := time.Now()
 		c, now, err := f.check(ctx, at)
 		if err != nil {
 			f.c.Logger.Debug("configuration not read", zap.Error(err))
+			if fetcher.IsErrNotFound(err) {
+				sleep(ctx, absentPause, nil)
+			}
 			f.retry(ctx, backoff)
 			continue
 		}
@@ -77,23 +99,25 @@
 	return f.c.Source.Configuration(ctx)
 }
 
-// read takes what the platform answered to a call that started at asOf: a newer configuration, or none.
-func (f *Follower) read(c *directory.Configuration, at uint64, asOf time.Time) {
+// read takes what the platform answered to a call that started at asOf, a newer configuration or none, and reports
+// whether it changed what is in force.
+func (f *Follower) read(c *directory.Configuration, at uint64, asOf time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.configAt = max(f.configAt, at)
-	f.adopt(c, asOf)
+	return f.adopt(c, asOf)
 }
 
 // adopt puts a configuration in force when it is newer than the one in force. The caller holds mu.
-func (f *Follower) adopt(c *directory.Configuration, asOf time.Time) {
+func (f *Follower) adopt(c *directory.Configuration, asOf time.Time) bool {
 	if asOf.After(f.configAsOf) {
 		f.configAsOf = asOf
 	}
 	if c == nil || f.configuration != nil && c.Version <= f.configuration.Version {
-		return
+		return false
 	}
 	f.configuration = c
 	f.c.Sink.SetConfiguration(c)
 	f.c.Logger.Info("configuration in force", zap.Uint64("version", c.Version), zap.Int("routes", len(c.Routes)))
+	return true
 }
--- a/internal/direct/follower/exchange.go
+++ b/internal/direct/follower/exchange.go
@@ -1,7 +1,9 @@
 package follower
 
 import (
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +25,11 @@
 	maxParts = 2048
 	// askInterval is the shortest time between two requests for the same document: it covers the transfer of a usual one.
 	askInterval = 150 * time.Millisecond
+	// largeConfiguration is the number of routes above which a configuration is read from the platform: 100 take 6 KB,
+	// which a link of 10 Mbit/s carries to 25 daemons in 0.1 s.
+	largeConfiguration = 100
+	// wantedWait is how long a peer may take to send a configuration: the time of two requests.
+	wantedWait = 2 * askInterval
 )
 
 // announce tells the peers what this daemon believes, with the difference to the list before, if there is one.
@@ -38,7 +45,7 @@
 	now := time.Now()
 	n := &news{zone: f.c.AvailabilityZone}
 	if f.configuration != nil {
-		n.configVersion, n.configAge = f.configuration.Version, now.Sub(f.configAsOf)
+		n.configVersion, n.configRoutes, n.configAge = f.configuration.Version, len(f.configuration.Routes), now.Sub(f.configAsOf)
 	}
 	if f.servers.Known() {
 		n.listingAge = now.Sub(f.servers.AsOf())
@@ -124,8 +131,7 @@
 	switch {
 	case n.configVersion == 0:
 	case f.configuration == nil || n.configVersion > f.configuration.Version:
-		f.request(from, configurationDocument)
-		signal(f.configReads)
+		f.want(now, from, n)
 	case n.configVersion == f.configuration.Version:
 		before := f.configAsOf
 		f.adopt(nil, now.Add(-n.configAge-transit))
@@ -141,18 +147,34 @@
 	}
 }
 
-// ask requests a document from a random peer, or from a seed while no peer is known.
+// want gets a newer configuration that a peer has: a small one from the peer, a large one from the platform, because the
+// link of a small VM can't carry it to a whole zone. If it does not come, it is read from the other one.
+func (f *Follower) want(now time.Time, from netip.AddrPort, n *news) {
+	if f.wanted < n.configVersion {
+		f.wanted, f.wantedAt = n.configVersion, now
+		if n.configRoutes > largeConfiguration {
+			f.wantedAt = now.Add(-wantedWait)
+		}
+		signal(f.configReads)
+	}
+	if n.configRoutes <= largeConfiguration || now.Sub(f.wantedAt) > 2*wantedWait {
+		f.request(from, configurationDocument)
+	}
+}
+
+// ask requests a document from the seeds and a random peer.
 func (f *Follower) ask(document document) {
-	peers := f.c.Seeds
+	peers := slices.Clone(f.c.Seeds)
 	if members := f.audience(true); len(members) > 0 {
-		peers = members
-	}
-	if len(peers) == 0 {
-		return
+		peers = append(peers[:0], members[rand.IntN(len(members))])
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.request(peers[f.c.Random.IntN(len(peers))], document)
+	asked := f.asked[document]
+	for _, p := range peers {
+		f.asked[document] = asked
+		f.request(p, document)
+	}
 }
 
 // request asks a peer for a document, at most once per askInterval. The caller holds mu.
@@ -177,10 +199,10 @@
 	var err error
 	switch {
 	case document == listingDocument && f.servers.Known():
-		p.stamp, p.digest, p.age = f.servers.Revision(), f.servers.Digest(), now.Sub(f.servers.AsOf())
+		p.revision, p.identity, p.age = f.servers.Revision(), f.servers.Digest(), now.Sub(f.servers.AsOf())
 		content, err = encodeListing(f.servers.Listing())
 	case document == configurationDocument && f.configuration != nil:
-		p.stamp, p.age = f.configuration.Version, now.Sub(f.configAsOf)
+		p.revision, p.identity, p.age = f.configAt, f.configuration.Version, now.Sub(f.configAsOf)
 		content, err = encodeConfiguration(f.configuration)
 	}
 	f.mu.Unlock()
@@ -201,15 +223,15 @@
 
 // transfer is a document that arrives in parts.
 type transfer struct {
-	stamp, digest uint64
-	parts         [][]byte
-	missing       int
+	revision, identity uint64
+	parts              [][]byte
+	missing            int
 }
 
 // add takes a part and returns the whole content when it was the last one.
 func (t *transfer) add(p *part) []byte {
-	if t.stamp != p.stamp || t.digest != p.digest || len(t.parts) != p.count {
-		*t = transfer{stamp: p.stamp, digest: p.digest, parts: make([][]byte, p.count), missing: p.count}
+	if t.revision != p.revision || t.identity != p.identity || len(t.parts) != p.count {
+		*t = transfer{revision: p.revision, identity: p.identity, parts: make([][]byte, p.count), missing: p.count}
 	}
 	if t.parts[p.index] != nil {
 		return nil
@@ -242,7 +264,7 @@
 			f.c.Logger.Warn("list of a peer not understood: check that all daemons run compatible versions", zap.Error(err))
 			return
 		}
-		l.Revision = p.stamp
+		l.Revision = p.revision
 		_, outcome := f.servers.Replace(asOf, l)
 		f.apply(outcome)
 	case configurationDocument:
@@ -251,7 +273,8 @@
 			f.c.Logger.Warn("configuration of a peer not understood: check that all daemons run compatible versions", zap.Error(err))
 			return
 		}
-		c.Version = p.stamp
+		c.Version = p.identity
+		f.configAt = max(f.configAt, p.revision)
 		f.adopt(c, asOf)
 	}
 }
--- a/internal/direct/follower/follower.go
+++ b/internal/direct/follower/follower.go
@@ -29,8 +29,9 @@
 	retryMax   = 800 * time.Millisecond
 	retryStep  = 200 * time.Millisecond
 	retrySteps = 10
-	// paceInterval is how often the ages are looked at.
-	paceInterval = 100 * time.Millisecond
+	// joinWait is how long a daemon that starts waits for its peers before it reads the platform: an answer across
+	// zones takes 10 ms.
+	joinWait = 40 * time.Millisecond
 )
 
 // ErrHistoryLost is returned by a Source that no longer has the changes after a revision.
@@ -72,7 +73,6 @@
 	Sink             Sink
 	Peers            Peers
 	Logger           *zap.Logger
-	Random           *rand.Rand
 	AvailabilityZone string
 	Zones            []string
 	Seeds            []netip.AddrPort
@@ -92,6 +92,8 @@
 	configuration *directory.Configuration
 	configAsOf    time.Time // when the configuration was the newest
 	configAt      uint64    // the platform's revision then
+	wanted        uint64    // version of a newer configuration that a peer has
+	wantedAt      time.Time // when it was first heard of
 	incoming      [documents]transfer
 	asked         [documents]time.Time
 }
@@ -121,7 +123,7 @@
 
 // newBackoff returns delays that grow with the rank.
 func (f *Follower) newBackoff() *fetcher.Backoff {
-	return &fetcher.Backoff{Min: retryMin, Max: retryMax, Random: rand.New(rand.NewPCG(f.c.Random.Uint64(), f.c.Random.Uint64()))}
+	return &fetcher.Backoff{Min: retryMin, Max: retryMax, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
 func (f *Follower) retry(ctx context.Context, b *fetcher.Backoff) {
@@ -130,15 +132,26 @@
 	sleep(ctx, b.Next(), nil)
 }
 
-// sleep waits for d, or less when wake is signalled.
-func sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+// join asks the peers for a document when the daemon starts, and reports whether the platform has to be read for it.
+func (f *Follower) join(ctx context.Context, d document, known func() bool) bool {
+	f.ask(d)
+	sleep(ctx, joinWait, nil)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !known()
+}
+
+// sleep waits for d, or less when wake is signalled, and reports whether it was.
+func sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-wake:
+		return true
 	}
+	return false
 }
 
 // signal wakes the reader of c, if it is not already signalled.
--- a/internal/direct/follower/listing.go
+++ b/internal/direct/follower/listing.go
@@ -12,17 +12,16 @@
 // readListing reads the list of backend servers whenever it is due or asked for.
 func (f *Follower) readListing(ctx context.Context) {
 	backoff := f.newBackoff()
-	asked := true
+	asked := f.join(ctx, listingDocument, f.servers.Known)
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		due := !f.servers.Known() || !time.Now().Before(f.listingPace.Due(f.servers.AsOf(), f.rank()))
 		known := f.servers.Known()
+		due := f.listingPace.Due(f.servers.AsOf(), f.rank())
 		f.mu.Unlock()
 		if !known {
 			f.ask(listingDocument)
-		}
-		if !due && !asked {
-			asked = f.pause(ctx, f.listingReads)
+		} else if wait := time.Until(due); wait > 0 && !asked {
+			asked = sleep(ctx, wait, f.listingReads)
 			continue
 		}
 		started := time.Now()
@@ -44,22 +43,9 @@
 	}
 }
 
-// pause waits until the ages are to be looked at again, and reports whether a read was asked for.
-func (f *Follower) pause(ctx context.Context, wake <-chan struct{}) bool {
-	timer := time.NewTimer(paceInterval)
-	defer timer.Stop()
-	select {
-	case <-wake:
-		return true
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-	return false
-}
-
 // apply hands a changed list to the sink. The caller holds mu.
 func (f *Follower) apply(outcome lister.Outcome) {
-	if outcome == lister.Changed || outcome == lister.Confirmed {
+	if outcome == lister.Changed {
 		f.c.Sink.SetListing(f.servers.Listing())
 	}
 }
--- a/internal/direct/follower/wire.go
+++ b/internal/direct/follower/wire.go
@@ -36,6 +36,7 @@
 	delta         lister.Delta // Revision 0: no list
 	listingAge    time.Duration
 	configVersion uint64 // 0: no configuration
+	configRoutes  int
 	configAge     time.Duration
 }
 
@@ -44,11 +45,13 @@
 
 // part is a part of a whole document.
 type part struct {
-	document      document
-	stamp, digest uint64
-	age           time.Duration
-	index, count  int
-	content       []byte
+	document document
+	revision uint64 // of the platform when the document was right
+	identity uint64 // digest of a list, version of a configuration
+	age      time.Duration
+	index    int
+	count    int
+	content  []byte
 }
 
 type wireMessage struct {
@@ -65,16 +68,17 @@
 	Removed                []uint64
 	ListingAge             uint32 // ms
 	ConfigVersion          uint64
+	ConfigRoutes           uint32
 	ConfigAge              uint32 // ms
 }
 
 type wirePart struct {
-	_             struct{} `cbor:",toarray"`
-	Document      uint8
-	Stamp, Digest uint64
-	Age           uint32 // ms
-	Index, Count  uint16
-	Content       []byte
+	_                  struct{} `cbor:",toarray"`
+	Document           uint8
+	Revision, Identity uint64
+	Age                uint32 // ms
+	Index, Count       uint16
+	Content            []byte
 }
 
 type wireServer struct {
@@ -129,7 +133,7 @@
 func (n *news) encode() ([]byte, error) {
 	w := wireNews{
 		Zone: n.zone, Revision: n.delta.Revision, Base: n.delta.Base, Digest: n.delta.Digest, ListingAge: toMilliseconds(n.listingAge),
-		ConfigVersion: n.configVersion, ConfigAge: toMilliseconds(n.configAge),
+		ConfigVersion: n.configVersion, ConfigRoutes: uint32(n.configRoutes), ConfigAge: toMilliseconds(n.configAge),
 	}
 	for i := range n.delta.Changed {
 		w.Changed = append(w.Changed, serverToWire(&n.delta.Changed[i]))
@@ -144,7 +148,7 @@
 
 func (p *part) encode() ([]byte, error) {
 	return wrap(kindPart, wirePart{
-		Document: uint8(p.document), Stamp: p.stamp, Digest: p.digest, Age: toMilliseconds(p.age), Index: uint16(p.index), Count: uint16(p.count), Content: p.content,
+		Document: uint8(p.document), Revision: p.revision, Identity: p.identity, Age: toMilliseconds(p.age), Index: uint16(p.index), Count: uint16(p.count), Content: p.content,
 	})
 }
 
@@ -172,7 +176,7 @@
 			return nil, errMalformed
 		}
 		return &part{
-			document: document(w.Document), stamp: w.Stamp, digest: w.Digest, age: fromMilliseconds(w.Age), index: int(w.Index), count: int(w.Count), content: w.Content,
+			document: document(w.Document), revision: w.Revision, identity: w.Identity, age: fromMilliseconds(w.Age), index: int(w.Index), count: int(w.Count), content: w.Content,
 		}, nil
 	}
 	return nil, errMalformed
@@ -185,7 +189,7 @@
 	}
 	n := &news{
 		zone: w.Zone, delta: lister.Delta{Revision: w.Revision, Base: w.Base, Digest: w.Digest}, listingAge: fromMilliseconds(w.ListingAge),
-		configVersion: w.ConfigVersion, configAge: fromMilliseconds(w.ConfigAge),
+		configVersion: w.ConfigVersion, configRoutes: int(w.ConfigRoutes), configAge: fromMilliseconds(w.ConfigAge),
 	}
 	for i := range w.Changed {
 		s, err := serverFromWire(&w.Changed[i])
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -103,7 +103,7 @@
 	s loader.Settings, source follower.Source, t *transporter.Transporter, p *peers.Peers, logger *zap.Logger,
 ) *follower.Follower {
 	f := follower.New(follower.Config{
-		Source: source, Sink: t, Peers: p, Logger: logger, Random: newRandom(), AvailabilityZone: s.AvailabilityZone, Zones: s.Zones,
+		Source: source, Sink: t, Peers: p, Logger: logger, AvailabilityZone: s.AvailabilityZone, Zones: s.Zones,
 		Seeds: s.Peer.Seeds, Bounds: follower.Bounds{Leaving: s.LeavingBound, Configuration: s.ConfigurationBound},
 	})
 	p.Subscribe(f)
--- a/services/gossiper/gossiper_test.go
+++ b/services/gossiper/gossiper_test.go
@@ -339,3 +339,16 @@
 	beats(40)
 	g.Expect(beats(5)).To(Equal(map[uint32]int{0: 2, 1: 2, 2: 2, 3: 2, 4: 2}))
 }
+
+// Guards against an availability zone without a seed whose daemons never learn of each other: nothing but their seeds in
+// another zone can introduce them.
+func TestZoneWithoutSeed(t *testing.T) {
+	n := newNetwork(8, 20, "souillac", "mahebourg")
+	for _, x := range n.nodes {
+		x.SetHints(nil)
+	}
+	n.run(10 * time.Second)
+	if m := n.missing(); m > 0 {
+		t.Fatalf("%d pairs do not know each other", m)
+	}
+}
--- a/services/gossiper/queue.go
+++ b/services/gossiper/queue.go
@@ -68,7 +68,11 @@
 		list = append(list, m.Member)
 	}
 	if zone != "" && zone != g.self.AvailabilityZone {
-		return append(list, g.introduced()...)
+		list = append(list, g.introduced()...)
+		if joining {
+			list = append(list, g.contactsIn(zone, to)...)
+		}
+		return list
 	}
 	limit := spread * bits.Len(uint(len(g.order)+1))
 	for _, a := range g.queue.take(g.lastTick, maxNews, limit) {
@@ -109,3 +113,15 @@
 	}
 	return list
 }
+
+// contactsIn returns the live contacts in another availability zone. A daemon that joins learns of its own zone from them
+// when none of its seeds is there.
+func (g *Gossiper) contactsIn(zone string, except netip.AddrPort) []packer.Member {
+	var list []packer.Member
+	for _, a := range g.order {
+		if m := g.members[a]; m.AvailabilityZone == zone && a != except && m.live() {
+			list = append(list, m.Member)
+		}
+	}
+	return list
+}
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -101,12 +101,8 @@
 		}
 	}
 	for id, b := range s.servers {
-		switch {
-		case present[id]:
-		case b.gone.IsZero():
+		if !present[id] && b.gone.IsZero() {
 			b.gone = now
-		case b.goneFor(now) > memory:
-			s.remove(b)
 		}
 	}
 	s.index()
@@ -147,6 +143,16 @@
 			s.forget(key)
 		}
 	}
+	expired := false
+	for _, b := range s.servers {
+		if b.goneFor(now) > memory {
+			s.remove(b)
+			expired = true
+		}
+	}
+	if expired {
+		s.index()
+	}
 	for address, since := range s.removed {
 		if now.Sub(since) > memory {
 			delete(s.removed, address)
