tagger: bind the flow tag to the service address

Change: the tag is bound to the service address that the flow was opened at, so that holding one proves that the route allowed the backend server. Requests that wait count in placement.

--- a/models/directory/directory.go
+++ b/models/directory/directory.go
@@ -45,16 +45,6 @@
 	Priority int
 }
 
-// Allows reports whether new flows of the route may go to the service.
-func (r *Route) Allows(service string) bool {
-	for _, s := range r.Shares {
-		if s.Service == service && s.Weight > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Configuration is one version of all routes.
 type Configuration struct {
 	Version uint64
--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -24,7 +24,8 @@
 	seen     time.Time
 	opening  bool
 	closing  bool
-	struck   bool // counted in the strikes of its server
+	struck   bool // counted among the repeating flows of its server
+	waiting  bool // a request was sent and no answer was seen
 }
 
 func (s *Steerer) begin(now time.Time, key flowKey, p *editor.Packet, target *server) {
@@ -57,6 +58,10 @@
 			return
 		}
 		f.received = p.Acknowledged
+		if p.DataLength > 0 {
+			f.waiting = true
+			target.sent(now)
+		}
 	}
 	f.seen = now
 	switch {
@@ -72,11 +77,19 @@
 		f.received = p.Acknowledged
 		f.opening = false
 		f.server.answered(f)
+		if f.waiting {
+			f.waiting = false
+			f.server.done(now)
+		}
 	case p.DataLength > 0 && p.Sequence == f.sequence && now.Sub(f.placed) >= repeatSpacing:
 		f.placed = now
 		f.server.strike(now, f)
 	}
 	if p.DataLength > 0 && int32(p.Sequence-f.sequence) > 0 {
 		f.sequence, f.placed = p.Sequence, now
+		if !f.waiting {
+			f.waiting = true
+			f.server.sent(now)
+		}
 	}
 }
--- a/services/steerer/placement.go
+++ b/services/steerer/placement.go
@@ -50,7 +50,7 @@
 // pick returns the backend server with the least load. Ties are broken at random, because daemons that break them alike
 // would choose the same one at once.
 func (s *Steerer) pick(now time.Time, list []*server, except *server) *server {
-	abroad := s.loadAbroad(list)
+	abroad := s.loadAbroad(now, list)
 	var best *server
 	var least float64
 	ties := 0
@@ -58,7 +58,7 @@
 		if b.Leaving || b == except {
 			continue
 		}
-		load := float64(b.flows) / float64(b.Slots)
+		load := float64(b.work(now)) / float64(b.Slots)
 		if b.AvailabilityZone != s.c.AvailabilityZone {
 			load += abroad
 		}
@@ -82,14 +82,17 @@
 	return best
 }
 
+// work returns the open flows that this daemon has seen at the backend server, with the requests that wait there.
+func (b *server) work(now time.Time) int { return b.flows + waitingWeight*b.waiting(now) }
+
 // loadAbroad estimates the load that a backend server in another availability zone has from the daemons there, in flows
 // per slot of this daemon's count, with the price of crossing. Daemons get alike shares of the callers, so that the mean
 // load of the fleet is this daemon's flows over the slots that its zone would have if the slots were spread evenly.
-func (s *Steerer) loadAbroad(list []*server) float64 {
-	flows, slots, zones := 0, 0, 0
+func (s *Steerer) loadAbroad(now time.Time, list []*server) float64 {
+	work, slots, zones := 0, 0, 0
 	s.zoneSet = s.zoneSet[:0]
 	for _, b := range list {
-		flows += b.flows
+		work += b.work(now)
 		if b.Leaving || b.suspected() {
 			continue
 		}
@@ -102,7 +105,7 @@
 	if slots == 0 {
 		return spillFlows
 	}
-	mean := float64(flows) * float64(max(zones, s.zones)) / float64(slots)
+	mean := float64(work) * float64(max(zones, s.zones)) / float64(slots)
 	return mean*spillFactor + spillFlows
 }
 
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -36,8 +36,7 @@
 	NoRoute             // no route has the address
 	RouteRemoved        // the route of the flow was removed
 	NoBackendServer     // no backend server can take the flow
-	UnknownTag          // the tag names no known backend server
-	ForeignTag          // the tag names a backend server of a service that the route never allowed
+	UnknownTag          // the tag names no known backend server, or was issued for another address
 	BackendServerGone   // the entry of the flow's backend server is gone
 	BackendServerSilent // the flow's backend server answers nobody
 	NotReady            // no configuration has arrived yet
@@ -46,7 +45,7 @@
 
 var causeNames = [causes]string{
 	"none", "established", "placed", "copied", "moved", "no-route", "route-removed", "no-backend-server", "unknown-tag",
-	"foreign-tag", "backend-server-gone", "backend-server-silent", "not-ready",
+	"backend-server-gone", "backend-server-silent", "not-ready",
 }
 
 // String returns the name of the cause as logs and metrics spell it.
@@ -116,7 +115,7 @@
 	if p.Flags.SYN {
 		return s.open(now, p, r)
 	}
-	return s.follow(now, p, r)
+	return s.follow(now, p)
 }
 
 // unrouted decides about a packet to an address without a route. A flow of a removed route ends at once; packets of other
@@ -136,16 +135,13 @@
 }
 
 // follow decides about a packet of an established flow.
-func (s *Steerer) follow(now time.Time, p *editor.Packet, r *route) Decision {
+func (s *Steerer) follow(now time.Time, p *editor.Packet) Decision {
 	key := flowKey{p.Source, p.Destination}
-	id, ok := s.tags.Open(p.Tag)
+	id, ok := s.tags.Open(p.Tag, p.Destination)
 	if !ok {
 		return Decision{Cause: UnknownTag}
 	}
 	target := s.servers[directory.ServerID(id)]
-	if !r.allowed[target.Service] {
-		return Decision{Cause: ForeignTag, Server: target.ID}
-	}
 	s.observe(now, key, p, target)
 	if !p.Flags.RST {
 		if cause := target.lost(now); cause != CauseNone {
@@ -182,7 +178,7 @@
 		s.forget(key)
 	}
 	s.begin(now, key, p, target)
-	return s.send(target, Placed)
+	return s.send(target, key.service, Placed)
 }
 
 // repeat decides about a copy of an opening packet. The caller sends copies when no answer came in time; the first backend
@@ -190,21 +186,22 @@
 // the way, and two answers at once would confuse the caller: they follow the first.
 func (s *Steerer) repeat(now time.Time, key flowKey, f *flow, r *route) Decision {
 	if now.Sub(f.placed) < repeatSpacing {
-		return s.send(f.server, Copied)
+		return s.send(f.server, key.service, Copied)
 	}
 	f.server.strike(now, f)
 	f.struck = false // the next copy may count against the next backend server
 	target := s.place(now, r, f.server)
 	if target == nil {
 		f.placed = now
-		return s.send(f.server, Copied)
+		return s.send(f.server, key.service, Copied)
 	}
 	f.server.flows--
 	target.flows++
 	f.server, f.placed, f.seen = target, now, now
-	return s.send(target, Moved)
+	return s.send(target, key.service, Moved)
 }
 
-func (s *Steerer) send(to *server, cause Cause) Decision {
-	return Decision{Action: Forward, Cause: cause, Server: to.ID, Address: to.Address, Tag: s.tags.Seal(uint64(to.ID))}
+func (s *Steerer) send(to *server, service netip.AddrPort, cause Cause) Decision {
+	tag, _ := s.tags.Seal(uint64(to.ID), service) // all known backend servers are in the table
+	return Decision{Action: Forward, Cause: cause, Server: to.ID, Address: to.Address, Tag: tag}
 }
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -20,11 +20,9 @@
 	goneConfirmation = 2500 * time.Millisecond
 )
 
-// route is a route in force with what placement and the check of tags need.
+// route is a route in force with what placement needs.
 type route struct {
 	directory.Route
-	// allowed holds the services that the route allows or allowed: flows opened under an earlier version go on.
-	allowed map[string]bool
 	// credits are those of the smooth weighted round robin between the services, by index of Shares.
 	credits []int
 }
@@ -36,6 +34,7 @@
 	listed time.Time // when it was first listed in its incarnation
 	flows  int       // open flows that this daemon has seen
 	health
+	load
 }
 
 func (b *server) goneFor(now time.Time) time.Duration {
@@ -66,17 +65,9 @@
 }
 
 func newRoute(r directory.Route, before *route) *route {
-	n := &route{Route: r, allowed: map[string]bool{}, credits: make([]int, len(r.Shares))}
-	if before != nil {
-		n.allowed = before.allowed
-		if slices.Equal(r.Shares, before.Shares) {
-			n.credits = before.credits
-		}
-	}
-	for _, share := range r.Shares {
-		if share.Weight > 0 {
-			n.allowed[share.Service] = true
-		}
+	n := &route{Route: r, credits: make([]int, len(r.Shares))}
+	if before != nil && slices.Equal(r.Shares, before.Shares) {
+		n.credits = before.credits
 	}
 	return n
 }
@@ -95,7 +86,7 @@
 		case known == nil:
 			s.servers[entry.ID] = &server{BackendServer: entry, listed: now}
 		case known.Incarnation != entry.Incarnation || known.Address != entry.Address:
-			known.BackendServer, known.listed, known.gone, known.health = entry, now, time.Time{}, health{}
+			known.BackendServer, known.listed, known.gone, known.health, known.load = entry, now, time.Time{}, health{}, load{}
 		default:
 			known.BackendServer, known.gone = entry, time.Time{}
 		}
