--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -32,8 +32,41 @@
 	if len(s.flows) >= maxFlows {
 		return
 	}
-	s.flows[key] = &flow{server: target, sequence: p.Sequence, placed: now, seen: now, opening: p.Flags.SYN}
+	f := &flow{server: target, sequence: p.Sequence, placed: now, seen: now, opening: p.Flags.SYN}
+	s.flows[key] = f
 	target.flows++
+	if f.opening {
+		s.awaitOpen(now, key, f)
+	}
+}
+
+// open is an opening packet whose answer is awaited.
+type open struct {
+	key    flowKey
+	server *server
+	sent   time.Time
+}
+
+// awaitOpen counts the opening packet until it is answered or openWait has passed.
+func (s *Steerer) awaitOpen(now time.Time, key flowKey, f *flow) {
+	f.server.opening++
+	s.opens = append(s.opens, open{key, f.server, now})
+}
+
+// settleOpens ends the wait for answers to opening packets that were sent openWait ago.
+func (s *Steerer) settleOpens(now time.Time) {
+	n := 0
+	for n < len(s.opens) && now.Sub(s.opens[n].sent) >= openWait {
+		o := &s.opens[n]
+		n++
+		o.server.opening--
+		if f, ok := s.flows[o.key]; ok && f.opening && f.server == o.server {
+			o.server.unanswered(now, f)
+		}
+	}
+	if n > 0 {
+		s.opens = append(s.opens[:0], s.opens[n:]...)
+	}
 }
 
 func (s *Steerer) forget(key flowKey) {
@@ -75,8 +108,8 @@
 	switch {
 	case f.opening, int32(p.Acknowledged-f.received) > 0:
 		f.received = p.Acknowledged
-		f.opening = false
 		f.server.answered(f)
+		f.opening = false
 		if f.waiting {
 			f.waiting = false
 			f.server.done(now)
--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -16,6 +16,11 @@
 	// repeatSpacing is the shortest time between two copies of a packet that a caller sends (200 ms), less the jitter of
 	// the links and of this process. Copies closer together were held up on the way.
 	repeatSpacing = 150 * time.Millisecond
+	// refusedOpens is how many opening packets must stay without an answer, one after the other, before a backend server
+	// gets no new flows. One that crashed resets its callers itself, which this daemon does not see: it sees only that
+	// nothing follows. openWait is how long that may take: a handshake takes 3 ms in a zone and 20 ms across zones.
+	refusedOpens = 2
+	openWait     = 50 * time.Millisecond
 	// trialMin and trialMax bound the time between the new flows that a suspected backend server gets, which show whether
 	// it is back. It doubles with each one: a failed trial costs a caller 200 ms, and entries of dead ones lapse within 4 s.
 	trialMin = 2 * time.Second
@@ -27,11 +32,13 @@
 type health struct {
 	repeating int           // flows that repeat packets since the last answer
 	since     time.Time     // first repetition since the last answer
+	opening   int           // opening packets that were sent and not yet answered, within openWait
+	refused   int           // opening packets without an answer since the last one that got one
 	trial     time.Time     // next new flow while suspected
 	trialGap  time.Duration // time to the trial after that
 }
 
-// strike counts a repeated packet of the flow, and reports whether the backend server became suspected by it.
+// strike counts a flow that repeats packets.
 func (h *health) strike(now time.Time, f *flow) {
 	if f.struck {
 		return
@@ -40,21 +47,38 @@
 	if h.repeating == 0 {
 		h.since = now
 	}
+	before := h.suspected()
 	h.repeating++
-	if h.repeating == suspectFlows {
+	h.suspect(now, before)
+}
+
+// suspect sets the first trial when the backend server became suspected.
+func (h *health) suspect(now time.Time, before bool) {
+	if !before && h.suspected() {
 		h.trialGap = trialMin
 		h.trial = now.Add(h.trialGap)
 	}
 }
 
+// unanswered counts an opening packet of the flow that got no answer in openWait.
+func (h *health) unanswered(now time.Time, f *flow) {
+	before := h.suspected()
+	h.refused++
+	h.suspect(now, before)
+	h.strike(now, f)
+}
+
 // answered takes an answer on the flow.
 func (h *health) answered(f *flow) {
 	h.repeating = 0
 	f.struck = false
+	if f.opening {
+		h.refused = 0
+	}
 }
 
 // suspected reports whether the backend server should get no new flows.
-func (h *health) suspected() bool { return h.repeating >= suspectFlows }
+func (h *health) suspected() bool { return h.repeating >= suspectFlows || h.refused >= refusedOpens }
 
 // silent reports whether the backend server certainly answers nobody.
 func (h *health) silent(now time.Time) bool {
--- a/services/steerer/placement.go
+++ b/services/steerer/placement.go
@@ -11,6 +11,12 @@
 	// suspicion is added to the load of a suspected backend server. No number of flows reaches it: such a one gets new
 	// flows only when there is no other.
 	suspicion = 1 << 24
+	// missing is added to the load of a backend server whose entry is missing for a short time: entries that lapsed while
+	// the platform was down come back, and until then there may be no other.
+	missing = 1 << 20
+	// openingWeight is how many open flows an unanswered opening packet weighs. A caller whose backend server has crashed
+	// is reset and tries again within milliseconds: the next try must go elsewhere.
+	openingWeight = 4
 )
 
 // place returns the backend server for a new flow of the route, nil when there is none. It avoids except.
@@ -55,13 +61,16 @@
 	var least float64
 	ties := 0
 	for _, b := range list {
-		if b.Leaving || b == except {
+		if b.Leaving || b == except || b.goneFor(now) > goneConfirmation {
 			continue
 		}
 		load := float64(b.work(now)) / float64(b.Slots)
 		if b.AvailabilityZone != s.c.AvailabilityZone {
 			load += abroad
 		}
+		if !b.gone.IsZero() {
+			load += missing
+		}
 		if b.suspected() {
 			if b.trialDue(now) {
 				b.tried(now)
@@ -82,8 +91,11 @@
 	return best
 }
 
-// work returns the open flows that this daemon has seen at the backend server, with the requests that wait there.
-func (b *server) work(now time.Time) int { return b.flows + waitingWeight*b.waiting(now) }
+// work returns the open flows that this daemon has seen at the backend server, with the requests that wait there
+// and the flows that do not open.
+func (b *server) work(now time.Time) int {
+	return b.flows + waitingWeight*b.waiting(now) + openingWeight*b.opening
+}
 
 // loadAbroad estimates the load that a backend server in another availability zone has from the daemons there, in flows
 // per slot of this daemon's count, with the price of crossing. Daemons get alike shares of the callers, so that the mean
@@ -93,7 +105,7 @@
 	s.zoneSet = s.zoneSet[:0]
 	for _, b := range list {
 		work += b.work(now)
-		if b.Leaving || b.suspected() {
+		if b.Leaving || b.suspected() || !b.gone.IsZero() {
 			continue
 		}
 		slots += b.Slots
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -90,6 +90,7 @@
 	services map[string][]*server
 	tags     *tagger.Table
 	flows    map[flowKey]*flow
+	opens    []open   // in the order in which they were sent
 	zones    int      // availability zones with backend servers
 	zoneSet  []string // scratch of loadAbroad
 }
@@ -108,6 +109,7 @@
 	if !s.configured {
 		return Decision{Cause: NotReady}
 	}
+	s.settleOpens(now)
 	r, ok := s.routes[p.Destination]
 	if !ok {
 		return s.unrouted(now, p)
@@ -198,6 +200,7 @@
 	f.server.flows--
 	target.flows++
 	f.server, f.placed, f.seen = target, now, now
+	s.awaitOpen(now, key, f)
 	return s.send(target, key.service, Moved)
 }
 
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -75,9 +75,6 @@
 // SetListing replaces the backend servers. Those that are missing from it stay known as gone for a while, because packets
 // of their flows still arrive.
 func (s *Steerer) SetListing(now time.Time, l *directory.Listing) {
-	for _, b := range s.servers {
-		b.Leaving = true // until the listing says otherwise
-	}
 	present := make(map[directory.ServerID]bool, len(l.Servers))
 	for _, entry := range l.Servers {
 		present[entry.ID] = true
@@ -115,7 +112,7 @@
 	zones := make(map[string]bool)
 	for id, b := range s.servers {
 		ids = append(ids, uint64(id))
-		if b.gone.IsZero() {
+		if b.gone.IsZero() || !b.Leaving {
 			s.services[b.Service] = append(s.services[b.Service], b)
 			zones[b.AvailabilityZone] = true
 		}
