steerer: daemons of a zone share what they find out about backend servers

Cause: each daemon had to see three silent flows itself; read pace was a third of the bounds. Change: findings (suspected, silent, answering) go to the own zone; a peer's finding needs one own repeating flow before a reset. Reads at 0.45 of the bounds.

--- a/internal/direct/follower/exchange.go
+++ b/internal/direct/follower/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/bluebelldyke/bluebelldyke/modules/packer"
 	"github.com/bluebelldyke/bluebelldyke/modules/ranker"
 	"github.com/bluebelldyke/bluebelldyke/services/lister"
+	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
 
 const (
@@ -25,6 +26,8 @@
 	maxParts = 2048
 	// askInterval is the shortest time between two requests for the same document: it covers the transfer of a usual one.
 	askInterval = 150 * time.Millisecond
+	// maxFindings bounds the findings of one message, which then takes 1,000 bytes.
+	maxFindings = 40
 	// largeConfiguration is the number of routes above which a configuration is read from the platform: 100 take 6 KB,
 	// which a link of 10 Mbit/s carries to 25 daemons in 0.1 s.
 	largeConfiguration = 100
@@ -110,6 +113,22 @@
 		f.serve(from, m.document)
 	case *part:
 		f.collect(m)
+	case findings:
+		f.c.Sink.AddFindings(m)
+	}
+}
+
+// Report tells the peers of the own availability zone what this daemon found out about backend servers.
+func (f *Follower) Report(list []steerer.Finding) {
+	for batch := range slices.Chunk(list, maxFindings) {
+		payload, err := findings(batch).encode()
+		if err != nil {
+			f.c.Logger.Error("findings not encoded", zap.Error(err))
+			return
+		}
+		for _, address := range f.audience(false) {
+			f.c.Peers.Notify(address, payload)
+		}
 	}
 }
 
--- a/internal/direct/follower/follower.go
+++ b/internal/direct/follower/follower.go
@@ -18,6 +18,7 @@
 	"github.com/bluebelldyke/bluebelldyke/modules/packer"
 	"github.com/bluebelldyke/bluebelldyke/services/lister"
 	"github.com/bluebelldyke/bluebelldyke/services/pacer"
+	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
 
 const (
@@ -54,6 +55,8 @@
 type Sink interface {
 	SetConfiguration(c *directory.Configuration)
 	SetListing(l *directory.Listing)
+	// AddFindings takes what a peer of the own availability zone found out about backend servers.
+	AddFindings(findings []steerer.Finding)
 }
 
 // Peers are the other daemons.
--- a/internal/direct/follower/wire.go
+++ b/internal/direct/follower/wire.go
@@ -9,6 +9,7 @@
 
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/services/lister"
+	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
 
 // document is one of the two documents that daemons exchange.
@@ -25,6 +26,7 @@
 	kindNews    = 1
 	kindRequest = 2
 	kindPart    = 3
+	kindFinding = 4
 )
 
 // errMalformed is returned for a message that is none of this version.
@@ -54,6 +56,16 @@
 	content  []byte
 }
 
+// findings are what a daemon found out about backend servers.
+type findings []steerer.Finding
+
+type wireFinding struct {
+	_           struct{} `cbor:",toarray"`
+	Server      uint64
+	Incarnation int64
+	Condition   uint8
+}
+
 type wireMessage struct {
 	_       struct{} `cbor:",toarray"`
 	Kind    uint8
@@ -152,7 +164,30 @@
 	})
 }
 
-// decode returns a *news, a *request or a *part.
+func (l findings) encode() ([]byte, error) {
+	w := make([]wireFinding, len(l))
+	for i, f := range l {
+		w[i] = wireFinding{Server: uint64(f.Server), Incarnation: f.Incarnation, Condition: uint8(f.Condition)}
+	}
+	return wrap(kindFinding, w)
+}
+
+func decodeFindings(b []byte) (any, error) {
+	var w []wireFinding
+	if err := decoding.Unmarshal(b, &w); err != nil {
+		return nil, eris.Wrapf(errMalformed, "%v", err)
+	}
+	l := make(findings, len(w))
+	for i, f := range w {
+		if f.Condition > uint8(steerer.Silent) {
+			return nil, errMalformed
+		}
+		l[i] = steerer.Finding{Server: directory.ServerID(f.Server), Incarnation: f.Incarnation, Condition: steerer.Condition(f.Condition)}
+	}
+	return l, nil
+}
+
+// decode returns a *news, a *request, a *part or findings.
 func decode(b []byte) (any, error) {
 	var m wireMessage
 	if err := decoding.Unmarshal(b, &m); err != nil {
@@ -178,6 +213,8 @@
 		return &part{
 			document: document(w.Document), revision: w.Revision, identity: w.Identity, age: fromMilliseconds(w.Age), index: int(w.Index), count: int(w.Count), content: w.Content,
 		}, nil
+	case kindFinding:
+		return decodeFindings(m.Content)
 	}
 	return nil, errMalformed
 }
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -106,6 +106,7 @@
 		Seeds: s.Peer.Seeds, Bounds: follower.Bounds{Leaving: s.LeavingBound, Configuration: s.ConfigurationBound},
 	})
 	p.Subscribe(f)
+	t.OnFindings(f.Report)
 	return f
 }
 
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -24,6 +24,8 @@
 	maxPacket = 2048
 	// receiveBuffer is the size of the socket's queue: half a second of packets at 2,000 a second.
 	receiveBuffer = 1 << 20
+	// findInterval is the time between two looks for findings that peers should know of.
+	findInterval = 100 * time.Millisecond
 	// sweepInterval is the time between two sweeps of what the Steerer remembers.
 	sweepInterval = time.Second
 )
@@ -42,10 +44,8 @@
 
 	mu       sync.Mutex // guards the Steerer and what follows
 	views    [2]bool    // whether a configuration and a list have arrived
-	received bool
-	last     time.Time // of the last packet
 	ready    chan struct{}
-	counts   [64]uint64
+	findings func([]steerer.Finding)
 }
 
 // New binds the socket.
@@ -74,6 +74,19 @@
 	t.arrived(1)
 }
 
+// AddFindings takes the findings of a peer.
+func (t *Transporter) AddFindings(findings []steerer.Finding) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, f := range findings {
+		t.c.Steerer.AddFinding(now, f)
+	}
+}
+
+// OnFindings sets what takes the findings of this daemon. It is called before Run.
+func (t *Transporter) OnFindings(take func([]steerer.Finding)) { t.findings = take }
+
 func (t *Transporter) arrived(view int) {
 	t.views[view] = true
 	select {
@@ -106,16 +119,25 @@
 }
 
 func (t *Transporter) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
+	ticker := time.NewTicker(findInterval)
 	defer ticker.Stop()
+	var swept time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
-			t.mu.Lock()
+		case <-ticker.C:
+		}
+		now := time.Now()
+		t.mu.Lock()
+		findings := t.c.Steerer.TakeFindings(now)
+		if now.Sub(swept) >= sweepInterval {
+			swept = now
 			t.c.Steerer.Sweep(now)
-			t.mu.Unlock()
+		}
+		t.mu.Unlock()
+		if len(findings) > 0 && t.findings != nil {
+			t.findings(findings)
 		}
 	}
 }
--- a/services/pacer/pacer.go
+++ b/services/pacer/pacer.go
@@ -14,7 +14,7 @@
 // Parts of the bound on the age of a belief.
 const (
 	// period is the age at which the first daemon reads, as a part of the bound: a lost read can be repeated in time.
-	period = 1.0 / 3
+	period = 0.45
 	// limit is the age at which any daemon reads. The rest of the bound is for the call, also a slow one.
 	limit = 0.62
 	// zoneStep and memberStep are the delays of each further availability zone and daemon: they leave time for a
--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -1,6 +1,10 @@
 package steerer
 
-import "time"
+import (
+	"time"
+
+	"github.com/bluebelldyke/bluebelldyke/models/directory"
+)
 
 // Evidence against a backend server. Backend servers acknowledge a request with its answer, and callers repeat after
 // 200 ms what was not acknowledged, so one repetition may also be a loss or slow work.
@@ -93,3 +97,94 @@
 	h.trialGap = min(2*h.trialGap, trialMax)
 	h.trial = now.Add(h.trialGap)
 }
+
+// Condition is what a daemon found out about a backend server.
+type Condition uint8
+
+// The conditions.
+const (
+	Answering Condition = iota // it answers again
+	Suspected                  // it should get no new flows
+	Silent                     // it answers nobody
+)
+
+var conditionNames = [...]string{"answering", "suspected", "silent"}
+
+// String returns the name of the condition as logs spell it.
+func (c Condition) String() string { return conditionNames[c] }
+
+// Finding is the condition of one process of a backend server. Daemons of an availability zone tell each other: each sees
+// only a part of the flows.
+type Finding struct {
+	Server      directory.ServerID
+	Incarnation int64
+	Condition   Condition
+}
+
+const (
+	// findingLife is how long the finding of a peer counts. The peer repeats it each findingInterval while it holds.
+	findingLife     = 2500 * time.Millisecond
+	findingInterval = time.Second
+)
+
+// reports is what peers found out about a backend server, and what they were told last.
+type reports struct {
+	suspected, silent time.Time // until when a peer's finding counts
+	told              Condition
+	toldAt            time.Time
+}
+
+// TakeFindings returns the conditions that peers should know of: new ones, and those that still hold after a while.
+func (s *Steerer) TakeFindings(now time.Time) []Finding {
+	var list []Finding
+	for _, services := range s.services {
+		for _, b := range services {
+			c := b.condition(now)
+			if c == b.told && (c == Answering || now.Sub(b.toldAt) < findingInterval) {
+				continue
+			}
+			b.told, b.toldAt = c, now
+			list = append(list, Finding{Server: b.ID, Incarnation: b.Incarnation, Condition: c})
+		}
+	}
+	return list
+}
+
+// AddFinding takes the finding of a peer.
+func (s *Steerer) AddFinding(now time.Time, f Finding) {
+	b := s.servers[f.Server]
+	if b == nil || b.Incarnation != f.Incarnation {
+		return
+	}
+	switch f.Condition {
+	case Answering:
+		b.reports.suspected, b.reports.silent = time.Time{}, time.Time{}
+	case Silent:
+		b.reports.silent = now.Add(findingLife)
+		fallthrough
+	case Suspected:
+		b.reports.suspected = now.Add(findingLife)
+	}
+}
+
+// condition returns what this daemon found out by itself.
+func (b *server) condition(now time.Time) Condition {
+	switch {
+	case b.health.silent(now):
+		return Silent
+	case b.health.suspected():
+		return Suspected
+	}
+	return Answering
+}
+
+// avoided reports whether the backend server should get no new flows, by the findings of this daemon and its peers.
+func (b *server) avoided(now time.Time) bool {
+	return b.health.suspected() || now.Before(b.reports.suspected)
+}
+
+// mute reports whether the flows of the backend server are to be reset. A peer's finding needs one own flow that repeats
+// packets: the peer may be cut off from a backend server that this daemon reaches.
+func (b *server) mute(now time.Time) bool {
+	return b.health.silent(now) || b.repeating > 0 && now.Before(b.reports.silent)
+}
--- a/services/steerer/placement.go
+++ b/services/steerer/placement.go
@@ -71,8 +71,8 @@
 		if !b.gone.IsZero() {
 			load += missing
 		}
-		if b.suspected() {
-			if b.trialDue(now) {
+		if b.avoided(now) {
+			if b.health.suspected() && b.trialDue(now) {
 				b.tried(now)
 				return b
 			}
@@ -105,7 +105,7 @@
 	s.zoneSet = s.zoneSet[:0]
 	for _, b := range list {
 		work += b.work(now)
-		if b.Leaving || b.suspected() || !b.gone.IsZero() {
+		if b.Leaving || b.avoided(now) || !b.gone.IsZero() {
 			continue
 		}
 		slots += b.Slots
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -159,7 +159,7 @@
 	switch {
 	case b.goneFor(now) > goneConfirmation:
 		return BackendServerGone
-	case b.silent(now):
+	case b.mute(now):
 		return BackendServerSilent
 	}
 	return CauseNone
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -34,6 +34,7 @@
 	listed time.Time // when it was first listed in its incarnation
 	flows  int       // open flows that this daemon has seen
 	health
+	reports
 	load
 }
 
@@ -83,7 +84,7 @@
 		case known == nil:
 			s.servers[entry.ID] = &server{BackendServer: entry, listed: now}
 		case known.Incarnation != entry.Incarnation || known.Address != entry.Address:
-			known.BackendServer, known.listed, known.gone, known.health, known.load = entry, now, time.Time{}, health{}, load{}
+			known.BackendServer, known.listed, known.gone, known.health, known.reports, known.load = entry, now, time.Time{}, health{}, reports{}, load{}
 		default:
 			known.BackendServer, known.gone = entry, time.Time{}
 		}
