steerer: keep flows whose backend server still answers after its entry lapsed

Cause: flows were reset 2.5 s after an entry was missing, also when their backend server lived and was only cut off from the store. Change: a reset needs that no flow had an answer for as long.

--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -34,12 +34,14 @@
 // health is what flows tell of a backend server: packets that callers repeat because nothing came back count against it,
 // and any answer clears it.
 type health struct {
-	repeating int           // flows that repeat packets since the last answer
-	since     time.Time     // first repetition since the last answer
-	opening   int           // opening packets that were sent and not yet answered, within openWait
-	refused   int           // opening packets without an answer since the last one that got one
-	trial     time.Time     // next new flow while suspected
-	trialGap  time.Duration // time to the trial after that
+	// lastAnswer is the time of the last sign of life. An entry may lapse while its backend server lives and serves.
+	lastAnswer time.Time
+	repeating  int           // flows that repeat packets since the last answer
+	since      time.Time     // first repetition since the last answer
+	opening    int           // opening packets that were sent and not yet answered, within openWait
+	refused    int           // opening packets without an answer since the last one that got one
+	trial      time.Time     // next new flow while suspected
+	trialGap   time.Duration // time to the trial after that
 }
 
 // strike counts a flow that repeats packets.
@@ -73,7 +75,8 @@
 }
 
 // answered takes an answer on the flow.
-func (h *health) answered(f *flow) {
+func (h *health) answered(now time.Time, f *flow) {
+	h.lastAnswer = now
 	h.repeating = 0
 	f.struck = false
 	if f.opening {
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -157,7 +157,7 @@
 // lost tells why the flows of a backend server can't go on, CauseNone when they can.
 func (b *server) lost(now time.Time) Cause {
 	switch {
-	case b.goneFor(now) > goneConfirmation:
+	case b.goneFor(now) > goneConfirmation && now.Sub(b.lastAnswer) > goneConfirmation:
 		return BackendServerGone
 	case b.mute(now):
 		return BackendServerSilent
