steerer: reset the idle flows of lost backend servers too; reload settings

Cause: flows that were idle when their backend server died lost their next request seconds later, and one that must not run twice can't be tried again. SIGHUP ended the process, and changed settings were not read.

--- a/cmd/direct.go
+++ b/cmd/direct.go
@@ -32,6 +32,6 @@
 		defer stop()
 		// The first signal begins a planned stop. Restoring the default action then lets a second one end the process.
 		context.AfterFunc(ctx, stop)
-		return explainBind(config, runner.Run(ctx, runner.Config{Settings: s, Source: store, Layout: platform.PacketLayout()}))
+		return explainBind(config, runner.Run(ctx, runner.Config{Settings: s, File: config, Source: store, Layout: platform.PacketLayout()}))
 	}}
 }
--- a/internal/direct/follower/exchange.go
+++ b/internal/direct/follower/exchange.go
@@ -183,7 +183,9 @@
 
 // ask requests a document from the seeds and a random peer.
 func (f *Follower) ask(document document) {
+	f.mu.Lock()
 	peers := slices.Clone(f.c.Seeds)
+	f.mu.Unlock()
 	if members := f.audience(true); len(members) > 0 {
 		peers = append(peers[:0], members[rand.IntN(len(members))])
 	}
--- a/internal/direct/follower/follower.go
+++ b/internal/direct/follower/follower.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,6 +111,13 @@
 	}
 }
 
+// SetSeeds replaces the daemons to ask while no peer is known.
+func (f *Follower) SetSeeds(seeds []netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.c.Seeds = slices.Clone(seeds)
+}
+
 // Run follows the platform until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/direct/loader/loader.go
+++ b/internal/direct/loader/loader.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"reflect"
 	"time"
 
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
@@ -58,6 +59,14 @@
 	return Parse(file, content)
 }
 
+// NeedsRestart reports whether a change from before is in force only after the next start: all but seeds and the level of
+// the log.
+func (s *Settings) NeedsRestart(before *Settings) bool {
+	a, b := *s, *before
+	a.Peer.Seeds, a.Log.Level, b.Peer.Seeds, b.Log.Level = nil, "", nil, ""
+	return !reflect.DeepEqual(a, b)
+}
+
 // Parse reads the TOML content of the named file. The error is an inspector.ErrInvalid that lists all problems found.
 func Parse(file string, content []byte) (Settings, error) {
 	report := inspector.NewReport(file)
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -12,10 +12,12 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/follower"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/reloader"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/responder"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
@@ -39,8 +41,10 @@
 // Config holds what a daemon is made of, beside its settings.
 type Config struct {
 	Settings loader.Settings
-	Source   follower.Source
-	Layout   editor.Layout
+	// File is where the settings came from; changes of it are applied.
+	File   string
+	Source follower.Source
+	Layout editor.Layout
 }
 
 // duties are the parts of a running daemon.
@@ -52,6 +56,7 @@
 	Follower    *follower.Follower
 	Transporter *transporter.Transporter
 	Responder   *responder.Responder
+	Reloader    *reloader.Reloader
 }
 
 // Run runs a daemon until ctx ends and its planned stop is done.
@@ -59,8 +64,8 @@
 	var d duties
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(c.Settings, c.Layout),
-		fx.Provide(func() follower.Source { return c.Source }, newRandom, newLogger, newTransporter, newPeers, newFollower, newResponder),
+		fx.Supply(c, c.Settings, c.Layout),
+		fx.Provide(func() follower.Source { return c.Source }, newRandom, newLogger, newTransporter, newPeers, newFollower, newResponder, newReloader),
 		fx.Invoke(func(in duties) { d = in }),
 	)
 	if err := app.Err(); err != nil {
@@ -71,10 +76,10 @@
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func newLogger(s loader.Settings) (*zap.Logger, error) {
+func newLogger(s loader.Settings) (*zap.Logger, zap.AtomicLevel, error) {
 	level, err := zap.ParseAtomicLevel(s.Log.Level)
 	if err != nil {
-		return nil, eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
+		return nil, level, eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
 	}
 	c := zap.NewProductionConfig()
 	if s.Log.Format == "text" {
@@ -82,7 +87,7 @@
 	}
 	c.Level, c.DisableStacktrace, c.OutputPaths = level, true, []string{"stdout"}
 	logger, err := c.Build()
-	return logger, eris.Wrap(err, "create the logger")
+	return logger, level, eris.Wrap(err, "create the logger")
 }
 
 func newTransporter(s loader.Settings, layout editor.Layout, random *rand.Rand) (*transporter.Transporter, error) {
@@ -110,6 +115,19 @@
 	return f
 }
 
+func newReloader(c Config, level zap.AtomicLevel, p *peers.Peers, f *follower.Follower, logger *zap.Logger) *reloader.Reloader {
+	inForce := c.Settings
+	return reloader.New(reloader.Config{File: c.File, Logger: logger, Apply: func(s loader.Settings) {
+		p.SetSeeds(s.Peer.Seeds)
+		f.SetSeeds(s.Peer.Seeds)
+		if l, err := zapcore.ParseLevel(s.Log.Level); err == nil { // the loader has checked it
+			level.SetLevel(l)
+		}
+		logger.Info("changed settings are in force", zap.Stringers("seeds", s.Peer.Seeds), zap.Bool("restart-needed", s.NeedsRestart(&inForce)))
+		inForce = s
+	}})
+}
+
 func newResponder(s loader.Settings, logger *zap.Logger) (*responder.Responder, error) {
 	return responder.New(s.Readiness, logger)
 }
@@ -124,6 +142,7 @@
 	group.Go(func() error { return d.Follower.Run(work) })
 	group.Go(func() error { return d.Transporter.Run(work) })
 	group.Go(func() error { return d.Responder.Run(work) })
+	group.Go(func() error { return d.Reloader.Run(work) })
 	group.Go(func() error {
 		select {
 		case <-work.Done():
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -122,6 +122,7 @@
 	ticker := time.NewTicker(findInterval)
 	defer ticker.Stop()
 	var swept time.Time
+	reset := make([]byte, t.c.Layout.Size)
 	for {
 		select {
 		case <-ctx.Done():
@@ -131,11 +132,15 @@
 		now := time.Now()
 		t.mu.Lock()
 		findings := t.c.Steerer.TakeFindings(now)
+		resets := t.c.Steerer.TakeResets(now)
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			t.c.Steerer.Sweep(now)
 		}
 		t.mu.Unlock()
+		for i := range resets {
+			t.reset(reset, &resets[i])
+		}
 		if len(findings) > 0 && t.findings != nil {
 			t.findings(findings)
 		}
@@ -168,8 +173,13 @@
 			t.c.Layout.SetTag(packet, d.Tag)
 			_, _ = t.conn.WriteToUDPAddrPort(buffer[:prefixSize+n], d.Address) // a lost packet is sent again by its caller
 		case steerer.Reset:
-			to := netip.AddrPortFrom(p.Source.Addr(), t.c.Bind.Port())
-			_, _ = t.conn.WriteToUDPAddrPort(t.c.Layout.Reset(reset, &p), to)
+			t.reset(reset, &p)
 		}
 	}
 }
+
+// reset sends the answer to p that resets its flow. Callers are reached at the port that their packets come to here.
+func (t *Transporter) reset(buffer []byte, p *editor.Packet) {
+	to := netip.AddrPortFrom(p.Source.Addr(), t.c.Bind.Port())
+	_, _ = t.conn.WriteToUDPAddrPort(t.c.Layout.Reset(buffer, p), to) // a caller that misses it repeats its packet
+}
--- a/routers/peers/members.go
+++ b/routers/peers/members.go
@@ -53,6 +53,13 @@
 
 func (p *Peers) zoneSize() int { return len(p.Zone()) }
 
+// SetSeeds replaces the addresses to contact first.
+func (p *Peers) SetSeeds(seeds []netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gossiper.SetSeeds(seeds)
+}
+
 // SetHints takes the balancers of the VM list as addresses to contact.
 func (p *Peers) SetHints(list *fleet.List) {
 	var hints []gossiper.Hint
--- a/services/gossiper/gossiper.go
+++ b/services/gossiper/gossiper.go
@@ -182,6 +182,9 @@
 // SetHints replaces the addresses of the VM list.
 func (g *Gossiper) SetHints(hints []Hint) { g.hints = slices.Clone(hints) }
 
+// SetSeeds replaces the addresses to contact first.
+func (g *Gossiper) SetSeeds(seeds []netip.AddrPort) { g.c.Seeds = slices.Clone(seeds) }
+
 // Members returns all members known, without this daemon.
 func (g *Gossiper) Members() []packer.Member {
 	list := make([]packer.Member, 0, len(g.order))
--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -126,3 +126,33 @@
 		}
 	}
 }
+
+// TakeResets returns packets to answer with resets: those of open flows whose backend server is lost. A caller that learns
+// of it before its next request opens another flow for it, which matters most to requests that must not run twice: they
+// can't be tried again once they were sent.
+func (s *Steerer) TakeResets(now time.Time) []editor.Packet {
+	lost := map[*server]bool{}
+	for _, b := range s.servers {
+		switch {
+		case b.lost(now) == CauseNone:
+			b.purged = false
+		case !b.purged && (b.lost(now) == BackendServerGone || b.repeating > 0 && now.Sub(b.health.since) >= purgeAfter):
+			b.purged = true
+			lost[b] = true
+		}
+	}
+	if len(lost) == 0 {
+		return nil
+	}
+	var list []editor.Packet
+	for key, f := range s.flows {
+		if !lost[f.server] {
+			continue
+		}
+		if !f.closing && !f.opening {
+			list = append(list, editor.Packet{Source: key.caller, Destination: key.service, Acknowledged: f.received})
+		}
+		s.forget(key)
+	}
+	return list
+}
--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -25,6 +25,9 @@
 	// nothing follows. openWait is how long that may take: a handshake takes 3 ms in a zone and 20 ms across zones.
 	refusedOpens = 2
 	openWait     = 50 * time.Millisecond
+	// purgeAfter is how long a backend server must have been silent before its idle flows are reset too: twice the time
+	// for those that repeat packets, because an idle flow loses nothing by waiting.
+	purgeAfter = 2 * silentFor
 	// trialMin and trialMax bound the time between the new flows that a suspected backend server gets, which show whether
 	// it is back. It doubles with each one: a failed trial costs a caller 200 ms, and entries of dead ones lapse within 4 s.
 	trialMin = 2 * time.Second
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -33,6 +33,7 @@
 	gone   time.Time // when its entry was first missing; zero while it is listed
 	listed time.Time // when it was first listed in its incarnation
 	flows  int       // open flows that this daemon has seen
+	purged bool      // its flows were reset since it was lost
 	health
 	reports
 	load
