--- /dev/null
+++ b/modules/editor/editor_test.go
@@ -0,0 +1,115 @@
+package editor_test
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+)
+
+// layout has its fields in another order than any deployment, so that nothing depends on one.
+var layout = editor.Layout{
+	Size: 30, Tag: 0, SourceIP: 4, SourcePort: 8, DestinationIP: 10, DestinationPort: 14, DataLength: 16, Flags: 18,
+	Sequence: 20, Acknowledged: 24, FlagSYN: 1, FlagACK: 2, FlagFIN: 4, FlagRST: 8,
+}
+
+const opening = "00000000 64400007 9c41 c6120001 01bb 0002 01 00 11223344 00000001 0000 abcd"
+
+func packet(t testing.TB, text string) []byte {
+	t.Helper()
+	b, err := hex.DecodeString(strings.ReplaceAll(text, " ", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func ExampleLayout_Parse() {
+	b, _ := hex.DecodeString(strings.ReplaceAll(opening, " ", ""))
+	var p editor.Packet
+	if err := layout.Parse(b, &p); err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println(p.Source, p.Destination, p.Flags.SYN, p.DataLength)
+	layout.SetTag(b, 0xcafe)
+	fmt.Println(hex.EncodeToString(b[:4]))
+	// Output:
+	// 100.64.0.7:40001 198.18.0.1:443 true 2
+	// 0000cafe
+}
+
+// TestSetTag guards against a change of any byte but those of the tag.
+func TestSetTag(t *testing.T) {
+	b := packet(t, opening)
+	before := bytes.Clone(b)
+	layout.SetTag(b, 0xffffffff)
+	if !bytes.Equal(b[4:], before[4:]) {
+		t.Fatalf("changed to %x", b)
+	}
+}
+
+// TestReset guards against resets that their caller would not take for its flow's.
+func TestReset(t *testing.T) {
+	var p, got editor.Packet
+	if err := layout.Parse(packet(t, opening), &p); err != nil {
+		t.Fatal(err)
+	}
+	b := layout.Reset(bytes.Repeat([]byte{0xee}, 100), &p)
+	if err := layout.Parse(b, &got); err != nil {
+		t.Fatal(err)
+	}
+	want := editor.Packet{Source: p.Destination, Destination: p.Source, Flags: editor.Flags{RST: true}, Sequence: p.Acknowledged}
+	if got != want {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// TestErrors guards against packets that are read beyond their end.
+func TestErrors(t *testing.T) {
+	b := packet(t, opening)
+	var p editor.Packet
+	if err := layout.Parse(b[:29], &p); !editor.IsErrTruncated(err) {
+		t.Error(err)
+	}
+	if err := layout.Parse(b[:31], &p); !editor.IsErrLength(err) {
+		t.Error(err)
+	}
+	if err := layout.Parse(append(b, 0), &p); !editor.IsErrLength(err) {
+		t.Error(err)
+	}
+}
+
+// FuzzParse guards against a panic, and against accepted packets whose reset can't be read.
+func FuzzParse(f *testing.F) {
+	f.Add(packet(f, opening))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var p, r editor.Packet
+		if err := layout.Parse(b, &p); err != nil {
+			return
+		}
+		if err := layout.Parse(layout.Reset(make([]byte, layout.Size), &p), &r); err != nil || r.Destination != p.Source {
+			t.Fatalf("%+v: %v", r, err)
+		}
+	})
+}
+
+func BenchmarkParse(b *testing.B) {
+	content := packet(b, opening)
+	var p editor.Packet
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := layout.Parse(content, &p); err != nil {
+			b.Fatal(err)
+		}
+		layout.SetTag(content, 7)
+	}
+	if p.Source != netip.MustParseAddrPort("100.64.0.7:40001") {
+		b.Fatal(p.Source)
+	}
+}
--- /dev/null
+++ b/modules/tagger/tagger_test.go
@@ -0,0 +1,102 @@
+package tagger
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var service = netip.MustParseAddrPort("198.18.0.1:443")
+
+func ExampleTable_Open() {
+	service := netip.MustParseAddrPort("198.18.0.1:443")
+	before := New([]uint64{0x7f3a91c2, 0x11})
+	tag, _ := before.Seal(0x7f3a91c2, service)
+
+	// Another daemon, which started later and knows more backend servers.
+	after := New([]uint64{0x22, 0x11, 0x7f3a91c2})
+	id, ok := after.Open(tag, service)
+	fmt.Printf("%x %v\n", id, ok)
+	// The tag says nothing at another service address.
+	_, ok = after.Open(tag, netip.MustParseAddrPort("198.18.0.2:443"))
+	fmt.Println(ok)
+	// Output:
+	// 7f3a91c2 true
+	// false
+}
+
+// TestRoundTrip guards against tags that open to another backend server, or to none, whatever the set and its order.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOfN(rapid.Uint64Min(1), 1, 200).Draw(t, "ids")
+		reversed := make([]uint64, 0, len(ids))
+		for i := range ids {
+			reversed = append(reversed, ids[len(ids)-1-i])
+		}
+		a, b := New(ids), New(reversed)
+		for _, id := range ids {
+			tag, ok := a.Seal(id, service)
+			if !ok {
+				t.Fatalf("no tag for %x", id)
+			}
+			if got, ok := b.Open(tag, service); !ok || got != id {
+				t.Fatalf("tag of %x opens to %x, %v", id, got, ok)
+			}
+		}
+	})
+}
+
+// TestUnknown guards against a guess for a tag that names no backend server: its packet would reach a wrong one.
+func TestUnknown(t *testing.T) {
+	table := New([]uint64{1, 2, 3})
+	tag, _ := New([]uint64{4}).Seal(4, service)
+	if id, ok := table.Open(tag, service); ok {
+		t.Fatalf("opened to %d", id)
+	}
+	if _, ok := table.Seal(4, service); ok {
+		t.Fatal("sealed an unknown id")
+	}
+	if _, ok := table.Open(0, service); ok {
+		t.Fatal("a packet without a tag opened to a backend server")
+	}
+}
+
+// TestCollision guards against daemons that resolve a collision differently, and against ids that lose their tag because
+// two others collide.
+func TestCollision(t *testing.T) {
+	crowded := func(id uint64, attempt int) uint32 { // many ids share few first hashes
+		if attempt == 0 {
+			return uint32(id % 3)
+		}
+		return uint32(id)*10 + uint32(attempt)
+	}
+	a, b := build([]uint64{7, 4, 1, 2, 9}, crowded), build([]uint64{9, 2, 1, 4, 7, 7}, crowded)
+	for _, id := range []uint64{1, 2, 4, 7, 9} {
+		x, _ := a.Seal(id, service)
+		y, _ := b.Seal(id, service)
+		if got, ok := a.Open(x, service); x != y || !ok || got != id {
+			t.Fatalf("id %d: tags %d and %d, opens to %d", id, x, y, got)
+		}
+	}
+	// 1 holds the first hash of its class: the others moved out of its way, and 2 and 9 are alone in theirs.
+	for _, id := range []uint64{1, 2, 9} {
+		if a.hashes[id] != uint32(id%3) {
+			t.Fatalf("id %d lost its first hash", id)
+		}
+	}
+}
+
+func BenchmarkOpen(b *testing.B) {
+	ids := make([]uint64, 150)
+	for i := range ids {
+		ids[i] = uint64(i+1) * 7919
+	}
+	table := New(ids)
+	tag, _ := table.Seal(ids[70], service)
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Open(tag, service)
+	}
+}
--- /dev/null
+++ b/services/pacer/pacer_test.go
@@ -0,0 +1,56 @@
+package pacer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/bluebelldyke/bluebelldyke/services/pacer"
+)
+
+func ExamplePacer_Due() {
+	p := pacer.Pacer{Bound: 4 * time.Second}
+	read := time.Unix(0, 0)
+	for _, r := range []pacer.Rank{{}, {Member: 1}, {Zone: 1}, {Zone: 2, Member: 30}} {
+		fmt.Println(p.Due(read, r).Sub(read))
+	}
+	// Output:
+	// 1.8s
+	// 1.9s
+	// 1.95s
+	// 2.48s
+}
+
+// TestBound guards against a daemon that hears nothing and reads too late: a call and its repetition must fit the bound.
+func TestBound(t *testing.T) {
+	for _, bound := range []time.Duration{3 * time.Second, 5 * time.Second, time.Minute} {
+		due := pacer.Pacer{Bound: bound}.Due(time.Unix(0, 0), pacer.Rank{Zone: 8, Member: 420}).Sub(time.Unix(0, 0))
+		if due > bound*2/3 {
+			t.Errorf("bound %s: reads after %s", bound, due)
+		}
+	}
+}
+
+// TestRanks guards against two daemons with the same rank, which would both read each time.
+func TestRanks(t *testing.T) {
+	var members []netip.AddrPort
+	for i := range 30 {
+		members = append(members, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7400))
+	}
+	seen := map[int]bool{}
+	for _, m := range members {
+		seen[pacer.RankMember("souillac", m, members)] = true
+	}
+	if len(seen) != len(members) {
+		t.Errorf("%d ranks for %d members", len(seen), len(members))
+	}
+	zones := []string{"souillac", "mahebourg", "bel-ombre"}
+	order := map[int]bool{}
+	for _, z := range zones {
+		order[pacer.RankZone(z, zones)] = true
+	}
+	if len(order) != len(zones) {
+		t.Errorf("ranks of the zones: %v", order)
+	}
+}
--- /dev/null
+++ b/services/steerer/health_test.go
@@ -0,0 +1,197 @@
+package steerer_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bluebelldyke/bluebelldyke/models/directory"
+	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+	"github.com/bluebelldyke/bluebelldyke/services/steerer"
+)
+
+// TestSilent guards against flows that wait for their deadline at a dead backend server, and against new flows there.
+func TestSilent(t *testing.T) {
+	g := NewWithT(t)
+	d := newDaemon(1, toOvens, zone(3, 1, "ovenwatch", "souillac")...)
+	tag := d.silence(1)
+	p, _ := d.established()
+	p.Tag, p.Source = tag, d.caller().Source
+	g.Expect(d.Steer(d.now, p)).To(HaveField("Cause", steerer.BackendServerSilent))
+	g.Expect(d.TakeFindings(d.now)).To(ContainElement(steerer.Finding{Server: 1, Incarnation: 1, Condition: steerer.Silent}))
+	g.Expect(d.placedAt(1, 30)).To(BeZero())
+	d.wait(time.Second)
+	g.Expect(len(d.TakeResets(d.now))).To(BeNumerically(">=", 3))
+	g.Expect(d.TakeResets(d.now)).To(BeEmpty(), "once")
+	d.wait(2 * time.Second)
+	trials := 0
+	for range 30 {
+		if p := d.caller(); d.Steer(d.now, p).Server == 1 { // nothing follows
+			trials++
+		}
+	}
+	g.Expect(trials).To(Equal(1))
+	d.wait(5 * time.Second)
+	g.Expect(d.placedAt(1, 30)).To(BeNumerically(">", 5), "the next trial is answered")
+}
+
+// TestPeerFinding guards against callers that wait although a peer knows that their backend server is silent, and
+// against resets by hearsay alone: the peer may be the one that is cut off.
+func TestPeerFinding(t *testing.T) {
+	g := NewWithT(t)
+	d := newDaemon(1, toOvens, zone(2, 1, "ovenwatch", "souillac")...)
+	var p *editor.Packet
+	for p == nil {
+		if q, opened := d.established(); opened.Server == 1 {
+			p = q
+		}
+	}
+	d.AddFinding(d.now, steerer.Finding{Server: 1, Incarnation: 1, Condition: steerer.Silent})
+	g.Expect(d.placedAt(1, 10)).To(BeZero())
+	g.Expect(d.Steer(d.now, p).Action).To(Equal(steerer.Forward))
+	d.wait(200 * time.Millisecond)
+	g.Expect(d.Steer(d.now, p)).To(HaveField("Cause", steerer.BackendServerSilent))
+
+	d.AddFinding(d.now, steerer.Finding{Server: 2, Incarnation: 9, Condition: steerer.Silent})
+	g.Expect(d.placedAt(2, 10)).To(Equal(10), "a finding about another process")
+	d.wait(3 * time.Second)
+	g.Expect(d.placedAt(1, 20)).To(BeNumerically(">", 0), "the finding has expired")
+}
+
+// TestCrashed guards against retries that go to the crashed backend server again: it resets its callers itself, so that
+// only the missing answer shows it, and it has the fewest flows (isbc-grid trouble-3: 834 tries cut).
+func TestCrashed(t *testing.T) {
+	g := NewWithT(t)
+	d := newDaemon(1, toOvens, zone(4, 1, "ovenwatch", "souillac")...)
+	for range 40 {
+		d.placedAt(0, 1)
+	}
+	wasted := 0
+	for range 200 {
+		p := d.caller()
+		opened := d.Steer(d.now, p)
+		if opened.Server == 1 {
+			wasted++
+		} else {
+			p.Flags, p.Tag, p.Acknowledged = editor.Flags{ACK: true}, opened.Tag, 5000
+			d.Steer(d.now, p)
+		}
+		d.wait(4 * time.Millisecond)
+	}
+	g.Expect(wasted).To(BeNumerically("<=", 5), "of 200 new flows in 0.8 s")
+}
+
+// TestCopies guards against two answers to one opening packet when its copies were only held up on the way, and against
+// copies that go to the same dead backend server.
+func TestCopies(t *testing.T) {
+	g := NewWithT(t)
+	d := newDaemon(1, toOvens, zone(2, 1, "ovenwatch", "souillac")...)
+	p := d.caller()
+	first := d.Steer(d.now, p)
+	p.Acknowledged = 1
+	d.wait(20 * time.Millisecond)
+	g.Expect(d.Steer(d.now, p)).To(And(HaveField("Cause", steerer.Copied), HaveField("Server", first.Server)))
+	d.wait(200 * time.Millisecond)
+	g.Expect(d.Steer(d.now, p)).To(And(HaveField("Cause", steerer.Moved), HaveField("Server", Not(Equal(first.Server)))))
+}
+
+// TestPaused guards against resets by a daemon that was paused: the packets that waited in its socket seem repeated, and
+// the answers to them are behind them.
+func TestPaused(t *testing.T) {
+	g := NewWithT(t)
+	d := newDaemon(1, toOvens, backend(1, "ovenwatch", "souillac"))
+	var flows []*editor.Packet
+	for range 10 {
+		p, _ := d.established()
+		d.Steer(d.now, p)
+		flows = append(flows, p)
+	}
+	d.wait(4 * time.Second)
+	for range 3 {
+		for _, p := range flows {
+			g.Expect(d.Steer(d.now, p).Action).To(Equal(steerer.Forward))
+			d.wait(50 * time.Microsecond)
+		}
+	}
+	for _, p := range flows {
+		p.Acknowledged += 1200
+		p.DataLength = 0
+		g.Expect(d.Steer(d.now, p).Action).To(Equal(steerer.Forward))
+	}
+	g.Expect(d.TakeResets(d.now)).To(BeEmpty())
+}
+
+// TestLiveIsNeverReset guards against the reset of a flow whose backend server answers, however slowly, at any loss and
+// load: callers repeat after 200, 400 and 800 ms what is not acknowledged.
+func TestLiveIsNeverReset(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		work := time.Duration(rapid.IntRange(5, 120).Draw(t, "work-ms")) * time.Millisecond
+		count := rapid.IntRange(3, 10).Draw(t, "flows")
+		d := newDaemon(rapid.Uint64().Draw(t, "seed"), toOvens, backend(1, "ovenwatch", "souillac"))
+		type state struct {
+			p     *editor.Packet
+			next  time.Time // next repetition
+			gap   time.Duration
+			done  time.Time // when the answer is acknowledged
+			ended bool
+		}
+		free := [2]time.Time{start, start}
+		serve := func(s *state) {
+			slot := 0
+			if free[1].Before(free[0]) {
+				slot = 1
+			}
+			if free[slot].Before(d.now) {
+				free[slot] = d.now
+			}
+			free[slot] = free[slot].Add(work)
+			s.done, s.gap, s.next, s.ended = free[slot], 200*time.Millisecond, d.now.Add(200*time.Millisecond), false
+		}
+		var flows []*state
+		for range count {
+			p, _ := d.established()
+			s := &state{p: p}
+			flows = append(flows, s)
+			serve(s)
+			d.Steer(d.now, p)
+		}
+		for end := d.now.Add(5 * time.Second); d.now.Before(end); d.wait(time.Millisecond) {
+			for _, s := range flows {
+				if !s.ended && !d.now.Before(s.done) {
+					s.p.Acknowledged += 1200
+					s.p.Sequence += 200
+					s.ended = true
+					serve(s) // the acknowledgement carries the next request
+					if got := d.Steer(d.now, s.p); got.Action == steerer.Reset {
+						t.Fatalf("reset after %s: %s", d.now.Sub(start), got.Cause)
+					}
+				}
+				if !d.now.Before(s.next) {
+					s.gap *= 2
+					s.next = d.now.Add(s.gap)
+					if got := d.Steer(d.now, s.p); got.Action == steerer.Reset {
+						t.Fatalf("reset after %s: %s", d.now.Sub(start), got.Cause)
+					}
+				}
+			}
+			if r := d.TakeResets(d.now); len(r) > 0 {
+				t.Fatalf("%d resets after %s", len(r), d.now.Sub(start))
+			}
+		}
+	})
+}
+
+// TestAllSuspected guards against a daemon whose own link fails and that rejects everybody: when all are suspected, the
+// work is spread as before.
+func TestAllSuspected(t *testing.T) {
+	g := NewWithT(t)
+	d := newDaemon(1, toOvens, zone(3, 1, "ovenwatch", "souillac")...)
+	for id := range directory.ServerID(3) {
+		d.AddFinding(d.now, steerer.Finding{Server: id + 1, Incarnation: 1, Condition: steerer.Suspected})
+	}
+	for id := range directory.ServerID(3) {
+		g.Expect(d.placedAt(id+1, 9)).To(BeNumerically(">", 0))
+	}
+}
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -78,8 +78,7 @@
 
 // Steerer decides about the packets of one daemon.
 type Steerer struct {
-	c       Config
-	started time.Time
+	c Config
 
 	configured  bool
 	idleTimeout time.Duration
