--- /dev/null
+++ b/internal/direct/follower/follower_test.go
@@ -0,0 +1,405 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebelldyke/bluebelldyke/models/directory"
+	"github.com/bluebelldyke/bluebelldyke/modules/fetcher"
+	"github.com/bluebelldyke/bluebelldyke/modules/packer"
+	"github.com/bluebelldyke/bluebelldyke/services/steerer"
+)
+
+const bound = 3 * time.Second
+
+// store is the platform as all daemons of a fleet read it.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	version  uint64
+	routes   int
+	servers  []directory.BackendServer
+	changed  chan struct{}
+	silent   bool // watches hear nothing
+	lost     bool // no history
+	reads    int
+	checks   int
+}
+
+func newStore() *store {
+	return &store{revision: 1, version: 1, routes: 3, changed: make(chan struct{}), servers: []directory.BackendServer{backend(1), backend(2)}}
+}
+
+func backend(id int) directory.BackendServer {
+	return directory.BackendServer{
+		ID: directory.ServerID(id), Service: "recipecard", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, byte(id)}), 80),
+		AvailabilityZone: "a", Slots: 2,
+	}
+}
+
+func (s *store) configuration() *directory.Configuration {
+	c := &directory.Configuration{Version: s.version, IdleTimeout: time.Second}
+	for i := range s.routes {
+		c.Routes = append(c.Routes, directory.Route{
+			Name: fmt.Sprint("r", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443),
+			Shares: []directory.Share{{Service: "recipecard", Weight: 1}},
+		})
+	}
+	return c
+}
+
+// change applies a change and tells the watches, unless they are silent.
+func (s *store) change(apply func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	apply()
+	s.revision++
+	if !s.silent {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// view is the platform as one daemon sees it.
+type view struct {
+	*store
+	mu      sync.Mutex
+	refused bool
+}
+
+var errRefused = eris.Wrap(fetcher.ErrUnavailable, "status 503")
+
+func (v *view) refuse(refused bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.refused = refused
+}
+
+func (v *view) refuses() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.refused
+}
+
+func (v *view) Configuration(context.Context) (*directory.Configuration, uint64, error) {
+	time.Sleep(4 * time.Millisecond)
+	if v.refuses() {
+		return nil, 0, errRefused
+	}
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	v.checks++
+	return v.configuration(), v.revision, nil
+}
+
+func (v *view) AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (*directory.Configuration, uint64, error) {
+	time.Sleep(4 * time.Millisecond)
+	if v.refuses() {
+		return nil, 0, errRefused
+	}
+	v.store.mu.Lock()
+	lost, revision, changed := v.lost, v.revision, v.changed
+	if wait == 0 {
+		v.checks++
+	}
+	v.store.mu.Unlock()
+	switch {
+	case lost && after < revision:
+		return nil, 0, ErrHistoryLost
+	case after < revision:
+		v.store.mu.Lock()
+		defer v.store.mu.Unlock()
+		return v.configuration(), v.revision, nil
+	case wait == 0:
+		return nil, revision, nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		v.store.mu.Lock()
+		defer v.store.mu.Unlock()
+		return v.configuration(), v.revision, nil
+	case <-ctx.Done():
+		return nil, 0, errRefused
+	case <-timer.C:
+		return nil, after, nil
+	}
+}
+
+func (v *view) Listing(context.Context) (*directory.Listing, error) {
+	time.Sleep(4 * time.Millisecond)
+	if v.refuses() {
+		return nil, errRefused
+	}
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	v.reads++
+	return &directory.Listing{Revision: v.revision, Servers: slices.Clone(v.servers)}, nil
+}
+
+// daemon is a Follower with its view of the platform, its peers and what it put in force.
+type daemon struct {
+	*Follower
+	fleet   *fleet
+	view    *view
+	address netip.AddrPort
+	zone    string
+
+	mu       sync.Mutex
+	cut      bool // from all peers
+	versions []uint64
+	servers  int
+	findings int
+}
+
+func (d *daemon) SetConfiguration(c *directory.Configuration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.versions = append(d.versions, c.Version)
+}
+
+func (d *daemon) SetListing(l *directory.Listing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.servers = len(l.Servers)
+}
+
+func (d *daemon) AddFindings(f []steerer.Finding) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.findings += len(f)
+}
+
+func (d *daemon) Address() netip.AddrPort { return d.address }
+
+func (d *daemon) Members() []packer.Member {
+	var list []packer.Member
+	for _, o := range d.fleet.daemons {
+		if o != d && !o.isCut() && !d.isCut() {
+			list = append(list, packer.Member{Address: o.address, AvailabilityZone: o.zone})
+		}
+	}
+	return list
+}
+
+func (d *daemon) Zone() []netip.AddrPort {
+	list := []netip.AddrPort{d.address}
+	for _, m := range d.Members() {
+		if m.AvailabilityZone == d.zone {
+			list = append(list, m.Address)
+		}
+	}
+	return list
+}
+
+func (d *daemon) isCut() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cut
+}
+
+func (d *daemon) setCut(cut bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut = cut
+}
+
+func (d *daemon) Notify(to netip.AddrPort, payload []byte) bool {
+	for _, o := range d.fleet.daemons {
+		if o.address == to && !o.isCut() && !d.isCut() {
+			time.AfterFunc(4*time.Millisecond, func() { o.Notified(d.address, payload) })
+		}
+	}
+	return true
+}
+
+// state returns what is in force: the newest version and the number of backend servers.
+func (d *daemon) state() (version uint64, servers int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.versions) > 0 {
+		version = d.versions[len(d.versions)-1]
+	}
+	return version, d.servers
+}
+
+type fleet struct {
+	*store
+	daemons []*daemon
+}
+
+// run runs a fleet in simulated time until the test function returns.
+func run(t *testing.T, perZone int, zones []string, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{store: newStore()}
+		for z, zone := range zones {
+			for i := range perZone {
+				d := &daemon{fleet: f, view: &view{store: f.store}, zone: zone, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, byte(i + 1)}), 7400)}
+				d.Follower = New(Config{
+					Source: d.view, Sink: d, Peers: d, Logger: zap.NewNop(), AvailabilityZone: zone, Zones: zones,
+					Bounds: Bounds{Leaving: bound, Configuration: bound},
+				})
+				f.daemons = append(f.daemons, d)
+			}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		group, ctx := errgroup.WithContext(ctx)
+		for _, d := range f.daemons {
+			group.Go(func() error { return d.Run(ctx) })
+		}
+		time.Sleep(2 * time.Second)
+		test(f)
+		for _, d := range f.daemons {
+			if !slices.IsSorted(d.versions) {
+				t.Errorf("versions in force went back: %v", d.versions)
+			}
+		}
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Minute) // messages on their way
+	})
+}
+
+var threeZones = []string{"souillac", "mahebourg", "bel-ombre"}
+
+// expect fails unless all daemons have the version and the number of backend servers in force.
+func (f *fleet) expect(t *testing.T, version uint64, servers int) {
+	t.Helper()
+	for _, d := range f.daemons {
+		if v, n := d.state(); v != version || n != servers {
+			t.Errorf("%s: version %d and %d backend servers in force, want %d and %d", d.address, v, n, version, servers)
+		}
+	}
+}
+
+// TestReads guards against reads that grow with the fleet: one daemon reads for all while they can talk.
+func TestReads(t *testing.T) {
+	for _, perZone := range []int{3, 30} {
+		run(t, perZone, threeZones, func(f *fleet) {
+			f.store.mu.Lock()
+			f.reads, f.checks = 0, 0
+			f.store.mu.Unlock()
+			time.Sleep(60 * time.Second)
+			f.store.mu.Lock()
+			defer f.store.mu.Unlock()
+			// At 0.45 of the bound, one daemon reads 44 times a minute.
+			if f.reads > 66 || f.checks > 66 || f.reads < 30 {
+				t.Errorf("%d daemons: %d reads of the list, %d checks of the configuration in 60 s", 3*perZone, f.reads, f.checks)
+			}
+		})
+	}
+}
+
+// TestSilentWatch guards against a change that is not in force within the bound because the watches went silent when the
+// platform dropped its history (benammar-lb scale-2, CONFIG broken at 12.4 s).
+func TestSilentWatch(t *testing.T) {
+	run(t, 3, threeZones, func(f *fleet) {
+		f.change(func() { f.silent, f.lost = true, true })
+		f.change(func() { f.version = 5 })
+		time.Sleep(bound - 500*time.Millisecond)
+		f.expect(t, 5, 2)
+	})
+}
+
+// TestIsolated guards against a daemon that relies on peers it does not hear.
+func TestIsolated(t *testing.T) {
+	run(t, 3, threeZones, func(f *fleet) {
+		for _, d := range f.daemons {
+			d.setCut(true)
+		}
+		f.change(func() { f.silent = true })
+		f.change(func() { f.version, f.servers = 6, f.servers[:1] })
+		time.Sleep(bound - 500*time.Millisecond)
+		f.expect(t, 6, 1)
+	})
+}
+
+// TestRefused guards against a daemon that the platform turns away and that falls behind, though its peers know.
+func TestRefused(t *testing.T) {
+	run(t, 3, threeZones, func(f *fleet) {
+		for i, d := range f.daemons {
+			d.view.refuse(i%3 != 0)
+		}
+		f.change(func() { f.version, f.servers = 7, append(f.servers, backend(3)) })
+		time.Sleep(bound)
+		f.expect(t, 7, 3)
+		f.change(func() { f.version, f.routes = 8, 400 }) // too large for datagrams to a whole zone: the last resort
+		time.Sleep(2 * bound)
+		f.expect(t, 8, 3)
+	})
+}
+
+// TestChangeReachesAll guards against a change that waits for the next check: watchers tell their zone at once.
+func TestChangeReachesAll(t *testing.T) {
+	run(t, 10, threeZones, func(f *fleet) {
+		f.change(func() { f.version = 9 })
+		time.Sleep(300 * time.Millisecond)
+		f.expect(t, 9, 2)
+	})
+}
+
+// TestOutage guards against reads that never come back after the platform was away, and against calls without pause.
+func TestOutage(t *testing.T) {
+	run(t, 3, threeZones, func(f *fleet) {
+		for _, d := range f.daemons {
+			d.view.refuse(true)
+		}
+		time.Sleep(20 * time.Second)
+		f.change(func() { f.version, f.servers = 10, f.servers[:1] })
+		for _, d := range f.daemons {
+			d.view.refuse(false)
+		}
+		time.Sleep(bound)
+		f.expect(t, 10, 1)
+	})
+}
+
+// TestFindings guards against findings that leave their availability zone or do not reach it.
+func TestFindings(t *testing.T) {
+	run(t, 3, threeZones, func(f *fleet) {
+		f.daemons[0].Report([]steerer.Finding{{Server: 1, Condition: steerer.Silent}})
+		time.Sleep(time.Second)
+		for i, d := range f.daemons {
+			d.mu.Lock()
+			if want := min(i, 1) * min(1, max(0, 3-i)); d.findings != want {
+				t.Errorf("daemon %d has %d findings, want %d", i, d.findings, want)
+			}
+			d.mu.Unlock()
+		}
+	})
+}
+
+// FuzzDecode guards against a panic on what a stray process sends to the peer socket.
+func FuzzDecode(f *testing.F) {
+	n := &news{zone: "souillac", configVersion: 3}
+	n.delta.Changed = []directory.BackendServer{backend(1)}
+	for _, encode := range []func() ([]byte, error){
+		n.encode, (&request{document: 1}).encode, (&part{count: 1, content: []byte("x")}).encode, findings{{Server: 1, Condition: steerer.Silent}}.encode,
+	} {
+		b, err := encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if m, err := decode(b); err == nil && m == nil {
+			t.Fatal("nothing decoded without an error")
+		}
+		_, _ = decodeListing(b)
+		_, _ = decodeConfiguration(b)
+	})
+}
