--- a/tests/harness/cluster.go
+++ b/tests/harness/cluster.go
@@ -61,7 +61,7 @@
 	directory string
 	temporary bool
 	ports     *block
-	starter   *starter
+	starter   *Starter
 	key       string
 
 	platform, fabric           *Process
@@ -94,7 +94,7 @@
 	}
 	l := &Cluster{
 		config: c, directory: c.Directory, random: rand.New(rand.NewPCG(c.Seed, 0x636c7573)), nextIP: map[string]int{},
-		starter: newStarter(),
+		starter: NewStarter(),
 	}
 	err := l.start()
 	if err != nil {
@@ -191,7 +191,7 @@
 }
 
 func (c *Cluster) run(name, program string, args ...string) (*Process, error) {
-	p, err := c.starter.start(c.directory, name, filepath.Join(c.config.Binaries, program), args...)
+	p, err := c.starter.Start(c.directory, name, filepath.Join(c.config.Binaries, program), args...)
 	if err != nil {
 		return nil, err
 	}
@@ -261,7 +261,7 @@
 	for _, p := range slices.Backward(processes) {
 		p.Kill()
 	}
-	c.starter.close()
+	c.starter.Close()
 	if c.ports != nil {
 		c.ports.close()
 	}
--- a/tests/harness/ports.go
+++ b/tests/harness/ports.go
@@ -50,6 +50,15 @@
 	return nil, eris.New("no free block of ports: stop other test runs")
 }
 
+// ReservePorts returns the base of a block of 64 ports that no other harness on this VM uses until the lock is closed.
+func ReservePorts() (base int, lock net.Listener, err error) {
+	b, err := reserveBlock()
+	if err != nil {
+		return 0, nil, err
+	}
+	return b.base, b.lock, nil
+}
+
 func (b *block) at(ip netip.Addr, port int) netip.AddrPort {
 	return netip.AddrPortFrom(ip, uint16(b.base+port))
 }
--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -24,15 +24,16 @@
 	err  error         // of Wait; valid once done is closed
 }
 
-// starter starts processes from one locked thread. The kernel kills a child when the thread that started it ends, so
+// Starter starts processes from one locked thread. The kernel kills a child when the thread that started it ends, so
 // the children end with the harness and never earlier.
-type starter struct {
+type Starter struct {
 	requests chan func()
 	group    errgroup.Group
 }
 
-func newStarter() *starter {
-	s := &starter{requests: make(chan func())}
+// NewStarter returns a Starter. Close ends it.
+func NewStarter() *Starter {
+	s := &Starter{requests: make(chan func())}
 	s.group.Go(func() error {
 		runtime.LockOSThread()
 		for f := range s.requests {
@@ -43,8 +44,8 @@
 	return s
 }
 
-// start starts a program in its own process group, so that an interrupt at the terminal reaches only the harness.
-func (s *starter) start(dir, name, program string, args ...string) (*Process, error) {
+// Start starts a program in its own process group, so that an interrupt at the terminal reaches only the harness.
+func (s *Starter) Start(dir, name, program string, args ...string) (*Process, error) {
 	log, err := os.Create(filepath.Join(dir, name+".log"))
 	if err != nil {
 		return nil, eris.Wrap(err, "create the log")
@@ -66,8 +67,8 @@
 	return p, nil
 }
 
-// close waits for all processes; the caller has ended them.
-func (s *starter) close() {
+// Close waits for all processes; the caller has ended them.
+func (s *Starter) Close() {
 	close(s.requests)
 	_ = s.group.Wait()
 }
@@ -81,6 +82,9 @@
 // Terminate asks the process for a planned stop.
 func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
 
+// Hangup tells the process that its settings have changed.
+func (p *Process) Hangup() { _ = p.cmd.Process.Signal(syscall.SIGHUP) }
+
 // Pause stops the process from running until Resume.
 func (p *Process) Pause() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
 
