direct: structured decision lines, never blocking, and metrics

Cause: a failed request could not be followed from logs. Change: the recorder writes a line for each decision that is not a mere forward, with a budget of lines per outcome beyond which they are joined; all lines go through the spooler, which drops and counts instead of blocking. OpenTelemetry counters at /metrics of the readiness address. The page of the exporter is one package for both daemons.

--- a/internal/direct/loader/loader.go
+++ b/internal/direct/loader/loader.go
@@ -19,7 +19,10 @@
 	maxGrace = time.Hour
 	// minBound leaves room for a call that takes half a second and its repetition.
 	minBound = time.Second
-	maxBound = time.Hour
+	// defaultBudget keeps the lines of a busy daemon under 0.1% of a core.
+	defaultBudget = 20
+	maxBudget     = 100_000
+	maxBound      = time.Hour
 )
 
 // Settings are the process settings.
@@ -48,7 +51,11 @@
 }
 
 // Log selects which log lines are written and how.
-type Log struct{ Level, Format string }
+type Log struct {
+	Level, Format string
+	// Budget is the number of lines a second for each outcome of a common decision; further ones are joined into one line.
+	Budget int
+}
 
 // Load reads the settings file.
 func Load(file string) (Settings, error) {
@@ -141,7 +148,10 @@
 }
 
 func readLog(t *inspector.Table) Log {
-	l := Log{Level: "info", Format: "json"}
+	l := Log{Level: "info", Format: "json", Budget: defaultBudget}
+	if budget, ok := t.Integer("budget", 1, maxBudget); ok {
+		l.Budget = int(budget)
+	}
 	if level, ok := t.Choice("level", "debug", "info", "warn", "error"); ok {
 		l.Level = level
 	}
--- /dev/null
+++ b/internal/direct/loader/loader_test.go
@@ -0,0 +1,90 @@
+package loader_test
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
+	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
+	"github.com/bluebelldyke/bluebelldyke/modules/inspector"
+)
+
+const example = "../../../custom/conf/direct.example.toml"
+
+func read(t *testing.T) string {
+	t.Helper()
+	b, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+// TestExample guards against an example file that the daemon refuses.
+func TestExample(t *testing.T) {
+	g := NewWithT(t)
+	s, err := loader.Load(example)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Entry).To(Equal(netip.MustParseAddrPort("10.1.0.10:8172")))
+	g.Expect(s.Zones).To(Equal([]string{"souillac", "mahebourg", "bel-ombre"}))
+	g.Expect(s.Peer.Seeds).To(HaveLen(3))
+	g.Expect(s.LeavingBound).To(Equal(3 * time.Second))
+}
+
+// TestErrors guards against mistakes that are found only when the daemon misbehaves: each is named with its remedy.
+func TestErrors(t *testing.T) {
+	text := read(t)
+	for change, want := range map[[2]string]string{
+		{`grace = "6s"`, `grace = "6"`}:                 "stop.grace",
+		{`leaving = "3s"`, `leaving = "1ms"`}:           "bounds.leaving",
+		{`bind = "10.1.0.10:8172"`, `bind = "entry"`}:   "entry.bind",
+		{`url = "http://`, `url = "ftp://`}:             "platform.url",
+		{`"10.2.0.40:8166"`, `"seed"`}:                  "peer.seeds",
+		{`name = `, `nam = `}:                           "name",
+		{`# level = "info"`, `level = "loud"`}:          "log.level",
+		{`availability-zone = "souillac"`, `# no zone`}: "availability-zone",
+	} {
+		g := NewWithT(t)
+		changed := strings.Replace(text, change[0], change[1], 1)
+		g.Expect(changed).NotTo(Equal(text), change[0])
+		_, err := loader.Parse("direct.toml", []byte(changed))
+		g.Expect(inspector.IsErrInvalid(err)).To(BeTrue(), "%v: %v", change, err)
+		g.Expect(err.Error()).To(ContainSubstring(want))
+	}
+	if _, err := loader.Load("nowhere.toml"); !configurer.IsErrUnreadable(err) {
+		t.Error(err)
+	}
+}
+
+// TestNeedsRestart guards against a change that an operator believes in force although it is not.
+func TestNeedsRestart(t *testing.T) {
+	g := NewWithT(t)
+	a, err := loader.Load(example)
+	g.Expect(err).NotTo(HaveOccurred())
+	b := a
+	b.Peer.Seeds, b.Log.Level = nil, "debug"
+	g.Expect(b.NeedsRestart(&a)).To(BeFalse())
+	b.Grace++
+	g.Expect(b.NeedsRestart(&a)).To(BeTrue())
+}
+
+// FuzzParse guards against a panic on any file, and against accepted settings without addresses.
+func FuzzParse(f *testing.F) {
+	b, err := os.ReadFile(example)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add([]byte("[peer]\nkey = 1"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := loader.Parse("direct.toml", b)
+		if err == nil && (!s.Entry.IsValid() || !s.Readiness.IsValid() || !s.Peer.Bind.IsValid() || s.Grace <= 0 || s.LeavingBound <= 0) {
+			t.Fatalf("%+v", s)
+		}
+	})
+}
--- a/internal/direct/responder/responder.go
+++ b/internal/direct/responder/responder.go
@@ -24,25 +24,32 @@
 	refused  atomic.Uint64
 }
 
-// New binds the address.
-func New(bind netip.AddrPort, logger *zap.Logger) (*Responder, error) {
+// New binds the address. It serves metrics, if any, at /metrics; every other path is the readiness check.
+func New(bind netip.AddrPort, metrics http.Handler, logger *zap.Logger) (*Responder, error) {
 	l, err := net.Listen("tcp4", bind.String())
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on TCP %s: end the process that uses it or change readiness.bind", bind)
 	}
 	r := &Responder{listener: l}
-	r.server = http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(logger)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", r.answer)
+	if metrics != nil {
+		mux.Handle("GET /metrics", metrics)
+	}
+	r.server = http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(logger)}
 	return r, nil
 }
 
+// Address returns the bound address.
+func (r *Responder) Address() netip.AddrPort { return r.listener.Addr().(*net.TCPAddr).AddrPort() }
+
 // SetReady sets the answer to checks.
 func (r *Responder) SetReady(ready bool) { r.ready.Store(ready) }
 
 // Refused returns how many checks were answered with "not ready".
 func (r *Responder) Refused() uint64 { return r.refused.Load() }
 
-// ServeHTTP implements http.Handler.
-func (r *Responder) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (r *Responder) answer(w http.ResponseWriter, _ *http.Request) {
 	if r.ready.Load() {
 		w.WriteHeader(http.StatusOK)
 		return
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -4,10 +4,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
+	"os"
 	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -17,10 +20,13 @@
 
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/follower"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/recorder"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/reloader"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/responder"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+	"github.com/bluebelldyke/bluebelldyke/modules/exposer"
+	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
 	"github.com/bluebelldyke/bluebelldyke/routers/peers"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
@@ -52,6 +58,7 @@
 	fx.In
 	Settings    loader.Settings
 	Logger      *zap.Logger
+	Lines       *spooler.Spooler
 	Peers       *peers.Peers
 	Follower    *follower.Follower
 	Transporter *transporter.Transporter
@@ -65,7 +72,7 @@
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(c, c.Settings, c.Layout),
-		fx.Provide(func() follower.Source { return c.Source }, newRandom, newLogger, newTransporter, newPeers, newFollower, newResponder, newReloader),
+		fx.Provide(func() follower.Source { return c.Source }, newRandom, newSpooler, newLogger, newMetrics, newTransporter, newPeers, newFollower, newResponder, newReloader),
 		fx.Invoke(func(in duties) { d = in }),
 	)
 	if err := app.Err(); err != nil {
@@ -76,30 +83,51 @@
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func newLogger(s loader.Settings) (*zap.Logger, zap.AtomicLevel, error) {
+func newSpooler() *spooler.Spooler { return spooler.New(os.Stdout, 0) }
+
+func newMetrics(lines *spooler.Spooler) (metric.Meter, http.Handler, error) {
+	provider, page, err := exposer.New()
+	if err != nil {
+		return nil, nil, err
+	}
+	meter := provider.Meter("bluebelldyke")
+	_, err = meter.Int64ObservableCounter("bluebelldyke.log.dropped", metric.WithDescription("log lines dropped because the output was slow"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(lines.Dropped()))
+			return nil
+		}))
+	return meter, page, eris.Wrap(err, "metric log.dropped")
+}
+
+func newLogger(s loader.Settings, lines *spooler.Spooler) (*zap.Logger, zap.AtomicLevel, error) {
 	level, err := zap.ParseAtomicLevel(s.Log.Level)
 	if err != nil {
 		return nil, level, eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
 	}
-	c := zap.NewProductionConfig()
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
 	if s.Log.Format == "text" {
-		c = zap.NewDevelopmentConfig()
+		encoder = zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
 	}
-	c.Level, c.DisableStacktrace, c.OutputPaths = level, true, []string{"stdout"}
-	logger, err := c.Build()
-	return logger, level, eris.Wrap(err, "create the logger")
+	return zap.New(zapcore.NewCore(encoder, lines, level)), level, nil
 }
 
-func newTransporter(s loader.Settings, layout editor.Layout, random *rand.Rand) (*transporter.Transporter, error) {
-	return transporter.New(transporter.Config{
+func newTransporter(
+	s loader.Settings, layout editor.Layout, random *rand.Rand, logger *zap.Logger, meter metric.Meter,
+) (*transporter.Transporter, error) {
+	t, err := transporter.New(transporter.Config{
 		Bind: s.Entry, Layout: layout, Steerer: steerer.New(steerer.Config{AvailabilityZone: s.AvailabilityZone, Random: random}),
+		Recorder: recorder.New(recorder.Config{Logger: logger, Budget: s.Log.Budget}),
 	})
+	if err != nil {
+		return nil, err
+	}
+	return t, t.Register(meter)
 }
 
-func newPeers(s loader.Settings, logger *zap.Logger) (*peers.Peers, error) {
+func newPeers(s loader.Settings, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
 	return peers.New(peers.Config{
 		Bind: s.Peer.Bind, Advertise: s.Peer.Bind, AvailabilityZone: s.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli()),
-		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Logger: logger, Random: newRandom(),
+		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Logger: logger, Meter: meter, Random: newRandom(),
 	})
 }
 
@@ -128,8 +156,8 @@
 	}})
 }
 
-func newResponder(s loader.Settings, logger *zap.Logger) (*responder.Responder, error) {
-	return responder.New(s.Readiness, logger)
+func newResponder(s loader.Settings, page http.Handler, logger *zap.Logger) (*responder.Responder, error) {
+	return responder.New(s.Readiness, page, logger)
 }
 
 // run runs the duties. When ctx ends they go on until the fabric has taken the daemon out of rotation.
@@ -138,6 +166,9 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, work := errgroup.WithContext(work)
+	lines, endLines := context.WithCancel(context.WithoutCancel(ctx))
+	var output errgroup.Group
+	output.Go(func() error { return d.Lines.Run(lines) })
 	group.Go(func() error { return d.Peers.Run(work) })
 	group.Go(func() error { return d.Follower.Run(work) })
 	group.Go(func() error { return d.Transporter.Run(work) })
@@ -164,7 +195,9 @@
 		return nil
 	})
 	err := group.Wait()
-	d.Logger.Info("daemon ends")
+	d.Logger.Info("daemon ends", zap.Error(err))
+	endLines()
+	_ = output.Wait() // it returns no error
 	return err
 }
 
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/recorder"
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
@@ -35,6 +36,8 @@
 	Bind    netip.AddrPort
 	Layout  editor.Layout
 	Steerer *steerer.Steerer
+	// Recorder writes the decisions.
+	Recorder *recorder.Recorder
 }
 
 // Transporter forwards packets.
@@ -42,7 +45,8 @@
 	c    Config
 	conn *net.UDPConn
 
-	mu       sync.Mutex // guards the Steerer and what follows
+	counts   counts
+	mu       sync.Mutex // guards the Steerer, the Recorder and what follows
 	views    [2]bool    // whether a configuration and a list have arrived
 	ready    chan struct{}
 	findings func([]steerer.Finding)
@@ -63,6 +67,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.c.Steerer.SetConfiguration(time.Now(), c)
+	t.c.Recorder.Configuration(c)
 	t.arrived(0)
 }
 
@@ -71,6 +76,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.c.Steerer.SetListing(time.Now(), l)
+	t.c.Recorder.Listing(l)
 	t.arrived(1)
 }
 
@@ -82,6 +88,7 @@
 	for _, f := range findings {
 		t.c.Steerer.AddFinding(now, f)
 	}
+	t.c.Recorder.Findings("peer", findings)
 }
 
 // OnFindings sets what takes the findings of this daemon. It is called before Run.
@@ -133,6 +140,10 @@
 		t.mu.Lock()
 		findings := t.c.Steerer.TakeFindings(now)
 		resets := t.c.Steerer.TakeResets(now)
+		t.c.Recorder.Findings("self", findings)
+		for i := range resets {
+			t.c.Recorder.Idle(&resets[i])
+		}
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			t.c.Steerer.Sweep(now)
@@ -141,6 +152,7 @@
 		for i := range resets {
 			t.reset(reset, &resets[i])
 		}
+		t.counts.idleResets.Add(uint64(len(resets)))
 		if len(findings) > 0 && t.findings != nil {
 			t.findings(findings)
 		}
@@ -161,12 +173,15 @@
 		}
 		packet := buffer[prefixSize : prefixSize+n]
 		if err := t.c.Layout.Parse(packet, &p); err != nil {
+			t.counts.malformed.Add(1)
 			continue
 		}
 		now := time.Now()
 		t.mu.Lock()
 		d := t.c.Steerer.Steer(now, &p)
+		t.c.Recorder.Decision(now, &p, &d)
 		t.mu.Unlock()
+		t.counts.decided(&d)
 		switch d.Action {
 		case steerer.Forward:
 			binary.BigEndian.PutUint64(buffer, uint64(d.Server))
--- /dev/null
+++ b/modules/spooler/spooler_test.go
@@ -0,0 +1,67 @@
+package spooler_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
+)
+
+func ExampleSpooler() {
+	var out bytes.Buffer
+	s := spooler.New(&out, 2)
+	for i := range 3 {
+		fmt.Fprintln(s, "line", i)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = s.Run(ctx)
+	fmt.Print(out.String())
+	fmt.Println("dropped:", s.Dropped())
+	// Output:
+	// line 0
+	// line 1
+	// dropped: 1
+}
+
+// TestFullPipe guards against a daemon that stands still because nobody reads its output: 10,000 lines in a second go
+// to a pipe that is never read.
+func TestFullPipe(t *testing.T) {
+	read, write := io.Pipe()
+	s := spooler.New(write, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return s.Run(ctx) })
+	began := time.Now()
+	for range 10_000 {
+		if n, err := s.Write([]byte("{}\n")); n != 3 || err != nil {
+			t.Fatal(n, err)
+		}
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("10,000 lines took %s", took)
+	}
+	if dropped := s.Dropped(); dropped < 9000 {
+		t.Errorf("%d dropped lines counted", dropped)
+	}
+	cancel()
+	_ = read.Close()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+func BenchmarkWrite(b *testing.B) {
+	s := spooler.New(io.Discard, 0)
+	line := bytes.Repeat([]byte("x"), 300)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = s.Write(line)
+	}
+}
--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -21,6 +21,7 @@
 
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/counter"
+	"github.com/bluebelldyke/bluebelldyke/modules/exposer"
 	"github.com/bluebelldyke/bluebelldyke/modules/ring"
 	"github.com/bluebelldyke/bluebelldyke/routers/checker"
 	"github.com/bluebelldyke/bluebelldyke/routers/operator"
@@ -104,7 +105,7 @@
 }
 
 func newMetrics(lc fx.Lifecycle) (metric.Meter, http.Handler, error) {
-	provider, page, err := newMeterProvider()
+	provider, page, err := exposer.New()
 	if err != nil {
 		return nil, nil, err
 	}
--- a/routers/daemon/metrics.go
+++ b/routers/daemon/metrics.go
@@ -6,13 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
-	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/counter"
@@ -39,17 +35,6 @@
 	state  atomic.Uint32
 }
 
-// newMeterProvider returns a meter provider whose instruments appear on the Prometheus page.
-func newMeterProvider() (*sdkmetric.MeterProvider, http.Handler, error) {
-	registry := prometheus.NewRegistry()
-	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo())
-	if err != nil {
-		return nil, nil, eris.Wrap(err, "create the Prometheus exporter")
-	}
-	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
-	return provider, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), nil
-}
-
 func newWeb(c configurer.Settings, metrics http.Handler) *web {
 	w := &web{}
 	mux := http.NewServeMux()
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -23,6 +23,11 @@
 	Reset                 // the caller's flow is reset
 )
 
+var actionNames = [...]string{"drop", "forward", "reset"}
+
+// String returns the name of the action as logs spell it.
+func (a Action) String() string { return actionNames[a] }
+
 // Cause tells why a decision was made.
 type Cause uint8
 
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -149,3 +149,21 @@
 		}
 	}
 }
+
+// ServerFlows is the number of open flows that this daemon has seen at a backend server.
+type ServerFlows struct {
+	ID                        directory.ServerID
+	Service, AvailabilityZone string
+	Flows                     int
+}
+
+// Servers returns the listed backend servers with their flows.
+func (s *Steerer) Servers() []ServerFlows {
+	list := make([]ServerFlows, 0, len(s.servers))
+	for _, services := range s.services {
+		for _, b := range services {
+			list = append(list, ServerFlows{b.ID, b.Service, b.AvailabilityZone, b.flows})
+		}
+	}
+	return list
+}
