--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,9 @@
 GO_FILES = $(shell git ls-files -co --exclude-standard '*.go')
 # A number of inputs instead of a time: at the end of a time, go test fails now and then with "context deadline exceeded".
 FUZZ_TIME ?= 60000x
+# Fuzz targets and specs that run at once. Specs mostly wait; each has its own block of ports.
+FUZZ_PROCS ?= 3
+SPEC_PROCS ?= 3
 
 .PHONY: help build fmt fmt-check lint unit integration fuzz test demo bench measure soak clean
 
@@ -31,14 +34,11 @@
 	$(GO) test $$($(GO) list ./... | grep -v /tests/integration)
 
 integration: build ## Run the tests with real processes.
-	$(GO) test -count=1 -timeout 8m ./tests/integration/... -ginkgo.label-filter '!known-red'
+	$(GO) run github.com/onsi/ginkgo/v2/ginkgo --procs=$(SPEC_PROCS) --timeout=8m --no-color --label-filter='!known-red' ./tests/integration
 
 fuzz: ## Run each fuzz target with FUZZ_TIME inputs.
-	@for pkg in $$(grep -rl --include='*_test.go' '^func Fuzz' . | xargs -r -n1 dirname | sort -u); do \
-		for target in $$(grep -ho '^func Fuzz[A-Za-z]*' $$pkg/*_test.go | sed 's/func //'); do \
-			$(GO) test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZ_TIME) $$pkg || exit 1; \
-		done; \
-	done
+	@grep -ro --include='*_test.go' '^func Fuzz[A-Za-z]*' . | sed -E 's|/[^/]*:func | |' | sort -u | \
+		xargs -P $(FUZZ_PROCS) -L 1 sh -c '$(GO) test -run "^$$" -fuzz "^$$1\$$" -fuzztime $(FUZZ_TIME) -parallel 2 "$$0" || exit 255'
 
 test: lint unit fuzz integration ## Run everything that CI runs.
 	@cat KNOWN-RED.txt
