--- a/cmd/check.go
+++ b/cmd/check.go
@@ -7,6 +7,9 @@
 	"io"
 	"slices"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
 	"github.com/bluebelldyke/bluebelldyke/models/settings"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/inspector"
@@ -16,6 +19,7 @@
 type checkOptions struct {
 	file, place, service, group string
 	documents                   []string // files of place documents
+	direct                      bool     // FILE holds process settings of the subcommand direct
 	output                      output
 }
 
@@ -26,6 +30,7 @@
 	// Not marked as required: flaggy would then report a missing FILE instead of an unknown flag.
 	flags.AddPositionalValue(&o.file, "FILE", 1, false, "File with the settings tree. Required.")
 	flags.StringSlice(&o.documents, "d", "place-document", "File with a place document that FILE names; may be given several times.")
+	flags.Bool(&o.direct, "", "direct", "FILE holds the process settings of the subcommand direct.")
 	flags.String(&o.place, "p", "place", "Place of the node; the root without it.")
 	flags.String(&o.service, "s", "service", "Service of the node, in the place.")
 	flags.String(&o.group, "g", "group", "Group of the node, in the service.")
@@ -40,6 +45,9 @@
 	if o.file == "" {
 		return usageError("no FILE: name the file with the settings tree, such as custom/settings/ile-solaire.toml")
 	}
+	if o.direct {
+		return checkDirect(o, out)
+	}
 	tree, missing, err := o.read()
 	if err != nil {
 		return err
@@ -65,6 +73,20 @@
 	return t.flush()
 }
 
+// checkDirect validates process settings of the subcommand direct.
+func checkDirect(o checkOptions, out io.Writer) error {
+	s, err := loader.Load(o.file)
+	if err != nil {
+		return err
+	}
+	if o.output == outputJSON {
+		b, err := json.MarshalIndent(map[string]string{"file": o.file, "name": s.Name, "availability-zone": s.AvailabilityZone}, "", "  ")
+		return writeJSON(out, b, err)
+	}
+	_, err = fmt.Fprintf(out, "%s: valid: daemon %s in availability zone %s\n", o.file, s.Name, s.AvailabilityZone)
+	return eris.Wrap(err, "write the output")
+}
+
 // read returns the tree that the files make, and the names of place documents that no file holds.
 func (o checkOptions) read() (*settings.Tree, []string, error) {
 	content, err := configurer.ReadFile(o.file)
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -61,7 +61,7 @@
 
 // Run runs the command line and returns the exit code.
 func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
-	commands := []*command{newServe(), newDirect(), newCheck(), newStatus(), newAudit(), newCall()}
+	commands := []*command{newServe(), newDirect(), newCheck(), newStatus(), newAudit(), newCall(), newExplain()}
 	c, err := parse(commands, args, out)
 	if err == nil && c != nil {
 		err = c.run(ctx, out)
--- a/internal/direct/follower/configuration.go
+++ b/internal/direct/follower/configuration.go
@@ -34,6 +34,7 @@
 		}
 		started := time.Now()
 		c, at, err := f.c.Source.AwaitConfiguration(ctx, after, watchWait)
+		f.called(callWatch, err)
 		switch {
 		case IsErrHistoryLost(err):
 			f.mu.Lock()
@@ -74,6 +75,7 @@
 		}
 		started := time.Now()
 		c, now, err := f.check(ctx, at)
+		f.called(callCheck, err)
 		if err != nil {
 			f.c.Logger.Debug("configuration not read", zap.Error(err))
 			if fetcher.IsErrNotFound(err) {
--- a/internal/direct/follower/follower.go
+++ b/internal/direct/follower/follower.go
@@ -91,6 +91,7 @@
 	configPace    pacer.Pacer
 	listingReads  chan struct{} // asks for a read of the list at once
 	configReads   chan struct{}
+	calls         calls
 	mu            sync.Mutex
 	servers       *lister.Lister
 	configuration *directory.Configuration
--- a/internal/direct/follower/listing.go
+++ b/internal/direct/follower/listing.go
@@ -26,6 +26,7 @@
 		}
 		started := time.Now()
 		l, err := f.c.Source.Listing(ctx)
+		f.called(callListing, err)
 		if err != nil {
 			f.c.Logger.Debug("list of backend servers not read", zap.Error(err))
 			f.retry(ctx, backoff)
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -132,15 +132,15 @@
 }
 
 func newFollower(
-	s loader.Settings, source follower.Source, t *transporter.Transporter, p *peers.Peers, logger *zap.Logger,
-) *follower.Follower {
+	s loader.Settings, source follower.Source, t *transporter.Transporter, p *peers.Peers, logger *zap.Logger, meter metric.Meter,
+) (*follower.Follower, error) {
 	f := follower.New(follower.Config{
 		Source: source, Sink: t, Peers: p, Logger: logger, AvailabilityZone: s.AvailabilityZone, Zones: s.Zones,
 		Seeds: s.Peer.Seeds, Bounds: follower.Bounds{Leaving: s.LeavingBound, Configuration: s.ConfigurationBound},
 	})
 	p.Subscribe(f)
 	t.OnFindings(f.Report)
-	return f
+	return f, f.Register(meter)
 }
 
 func newReloader(c Config, level zap.AtomicLevel, p *peers.Peers, f *follower.Follower, logger *zap.Logger) *reloader.Reloader {
--- a/tests/standins/direct/backend.go
+++ b/tests/standins/direct/backend.go
@@ -53,12 +53,11 @@
 	c    BackendConfig
 	conn *net.UDPConn
 
-	mu      sync.Mutex
-	flows   map[flow]*served
-	opened  int
-	runs    map[uint64]int // by request id
-	leftAt  time.Time
-	refused int
+	mu     sync.Mutex
+	flows  map[flow]*served
+	opened int
+	runs   map[uint64]int // by request id
+	leftAt time.Time
 }
 
 type served struct {
