--- a/internal/direct/recorder/recorder.go
+++ b/internal/direct/recorder/recorder.go
@@ -109,8 +109,10 @@
 }
 
 // Idle writes the reset of a flow that no packet asked for.
-func (r *Recorder) Idle(p *editor.Packet) {
-	r.c.Logger.Info(MessageFlow, zap.String("flow", flowName(p)), zap.Stringer("outcome", steerer.Reset), zap.String("cause", "idle-at-lost-backend-server"))
+func (r *Recorder) Idle(f *steerer.LostFlow) {
+	r.c.Logger.Info(MessageFlow, zap.String("flow", flowName(&f.Packet)), zap.Stringer("outcome", steerer.Reset),
+		zap.String("cause", "idle-at-lost-backend-server"), zap.String("server", ServerName(f.Server)),
+		zap.Uint64("configuration", r.view.Configuration), zap.Uint64("listing", r.view.Listing))
 }
 
 // Configuration writes the routes that a configuration adds and removes.
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -150,7 +150,7 @@
 		}
 		t.mu.Unlock()
 		for i := range resets {
-			t.reset(reset, &resets[i])
+			t.reset(reset, &resets[i].Packet)
 		}
 		t.counts.idleResets.Add(uint64(len(resets)))
 		if len(findings) > 0 && t.findings != nil {
--- a/services/explainer/explainer.go
+++ b/services/explainer/explainer.go
@@ -48,13 +48,12 @@
 // Explainer reads log lines. It is not safe for concurrent use.
 type Explainer struct {
 	lines []Line
-	vms   map[string]string // prefix of a line to the VM that its process named
 	read  int
 	bad   int
 }
 
 // New returns an Explainer that has read nothing.
-func New() *Explainer { return &Explainer{vms: map[string]string{}} }
+func New() *Explainer { return &Explainer{} }
 
 // Read takes the lines of a log. Text before the JSON object, as log collectors add it, names the source.
 func (e *Explainer) Read(r io.Reader) error {
@@ -125,7 +124,7 @@
 func (e *Explainer) Explain(q Query) Story {
 	s := Story{Lines: e.read, Bad: e.bad}
 	slices.SortStableFunc(e.lines, func(a, b Line) int { return int(min(max(a.Time-b.Time, -1), 1)) })
-	servers, services := map[string]bool{}, map[string]bool{}
+	servers, services, vms := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	if q.Server != "" {
 		servers[q.Server] = true
 	}
@@ -137,6 +136,7 @@
 			continue
 		}
 		s.Decisions = append(s.Decisions, l)
+		vms[l.VM] = true
 		if server := l.Fields["server"]; server != "" {
 			servers[server] = true
 		}
@@ -156,7 +156,7 @@
 			continue
 		}
 		server, address := l.Fields["server"], l.Fields["address"]
-		if servers[server] || services[address] || general(l.Message) {
+		if servers[server] || services[address] || general(l.Message) && vms[l.VM] {
 			s.Beliefs = append(s.Beliefs, l)
 		}
 	}
--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
 )
 
@@ -127,10 +128,16 @@
 	}
 }
 
-// TakeResets returns packets to answer with resets: those of open flows whose backend server is lost. A caller that learns
+// LostFlow is an open flow whose backend server is lost: Packet is what a reset answers.
+type LostFlow struct {
+	Packet editor.Packet
+	Server directory.ServerID
+}
+
+// TakeResets returns the flows to reset without waiting for a packet: the open flows whose backend server is lost. A caller that learns
 // of it before its next request opens another flow for it, which matters most to requests that must not run twice: they
 // can't be tried again once they were sent.
-func (s *Steerer) TakeResets(now time.Time) []editor.Packet {
+func (s *Steerer) TakeResets(now time.Time) []LostFlow {
 	lost := map[*server]bool{}
 	for _, b := range s.servers {
 		switch {
@@ -144,13 +151,15 @@
 	if len(lost) == 0 {
 		return nil
 	}
-	var list []editor.Packet
+	var list []LostFlow
 	for key, f := range s.flows {
 		if !lost[f.server] {
 			continue
 		}
 		if !f.closing && !f.opening {
-			list = append(list, editor.Packet{Source: key.caller, Destination: key.service, Acknowledged: f.received})
+			list = append(list, LostFlow{
+				Packet: editor.Packet{Source: key.caller, Destination: key.service, Acknowledged: f.received}, Server: f.server.ID,
+			})
 		}
 		s.forget(key)
 	}
