scheduler: correct shares from fewer requests

Cause: at a low rate the corrections of work shares that hold a backend server with wrong reports to its share never counted: they needed 60 recent requests of three servers, and 6 s of the spec give about 40. Change: sparseRequests 20 to 8.

--- a/services/scheduler/balance.go
+++ b/services/scheduler/balance.go
@@ -17,7 +17,7 @@
 	maximumExcess = 0.5
 	// sparseRequests is the number of recent requests per backend server at which deviations count half: a difference of
 	// one request in three is no imbalance.
-	sparseRequests = 20
+	sparseRequests = 8
 	// noPart and fullPart are the parts of an availability zone's load, as one balancer measures them, between which
 	// corrections go from no effect to their full effect. One of 33 balancers measures about 0.1, because it counts own
 	// work at the times when it gets answers.
