--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,8 @@
 # Fuzz targets and specs that run at once. Specs mostly wait; each has its own block of ports.
 FUZZ_PROCS ?= 3
 SPEC_PROCS ?= 3
+SOAK_SEED ?= 0
+SOAK_RUNS ?= 5
 
 .PHONY: help build fmt fmt-check lint unit integration fuzz test demo bench measure soak clean
 
@@ -17,7 +19,7 @@
 	@grep -E '^[a-z-]+:.*## ' Makefile | sed -E 's/:.*## /\t/' | expand -t 16
 
 build: ## Build the daemon, the stand-ins and the measurement programs into bin/.
-	$(GO) build -o $(BIN)/ . ./tests/standins/... ./tests/demo ./tests/bench ./tests/flows
+	$(GO) build -o $(BIN)/ . ./tests/standins/... ./tests/demo ./tests/bench ./tests/flows ./tests/soak
 
 fmt: ## Format all Go files.
 	$(TOOL) goimports -local github.com/bluebelldyke/bluebelldyke -w $(GO_FILES)
@@ -53,7 +55,8 @@
 measure: ## Measure the routing policies (tables in docs/measurements.md).
 	$(GO) run ./tests/measure -seed $(SEED)
 
-soak: build ## Run the mixed-fault test in its long form.
+soak: build ## Run the fault soak with SOAK_SEED (0: fresh seeds) and the mixed-fault test in its long form.
+	$(BIN)/soak -seed $(SOAK_SEED) -runs $(SOAK_RUNS)
 	SOAK=1 $(GO) test -count=1 -timeout 30m ./tests/integration/... -ginkgo.focus 'mixed faults'
 
 clean: ## Remove what the build wrote.
--- a/tests/harness/deployment/deployment.go
+++ b/tests/harness/deployment/deployment.go
@@ -98,6 +98,7 @@
 	cancel   context.CancelFunc
 	mu       sync.Mutex
 	backends []*Backend
+	ended    []*Backend
 	next     int
 	version  uint64
 }
@@ -321,6 +322,26 @@
 	return list
 }
 
+// Doubled returns the requests that ran more than once, anywhere. Callers of this deployment send each request once.
+func (d *Deployment) Doubled() map[uint64]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	runs, doubled := map[uint64]int{}, map[uint64]int{}
+	for _, list := range [][]*Backend{d.backends, d.ended} {
+		for _, b := range list {
+			if b.server.Service != "ovenwatch" {
+				continue // each service's callers number their requests
+			}
+			for id, n := range b.Runs() {
+				if runs[id] += n; runs[id] > 1 {
+					doubled[id] = runs[id]
+				}
+			}
+		}
+	}
+	return doubled
+}
+
 // Drain lets a backend server leave: it keeps its flows and must get no new ones after the bound.
 func (d *Deployment) Drain(b *Backend) {
 	d.mu.Lock()
@@ -339,6 +360,7 @@
 	for i, x := range d.backends {
 		if x == b {
 			d.backends = append(d.backends[:i], d.backends[i+1:]...)
+			d.ended = append(d.ended, b)
 			break
 		}
 	}
--- a/tests/integration/direct_test.go
+++ b/tests/integration/direct_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -146,6 +148,14 @@
 		Expect(x.Running()).To(BeTrue())
 	})
 
+	// Guards against promises that hold under one fault and break under several: a short run of the fault soak.
+	It("keeps its promises under overlapping faults", func() {
+		command := exec.Command(filepath.Join(binaries, "soak"), "-binaries", binaries, "-seed", "1", "-length", "8s", "-report", GinkgoT().TempDir())
+		out, err := command.CombinedOutput()
+		AddReportEntry("soak", string(out))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	// Guards against flows that are reset because a paused daemon reads its socket late.
 	It("resets no flow after a daemon was paused", func() {
 		d := deploy()
