--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 SOAK_SEED ?= 0
 SOAK_RUNS ?= 5
 
-.PHONY: help build fmt fmt-check lint unit integration fuzz test demo bench measure soak clean
+.PHONY: help build fmt fmt-check lint unit integration fuzz test demo bench measure replay soak clean
 
 help: ## List the targets.
 	@grep -E '^[a-z-]+:.*## ' Makefile | sed -E 's/:.*## /\t/' | expand -t 16
@@ -49,12 +49,15 @@
 	@$(BIN)/demo -seed $(SEED)
 
 bench: build ## Run the benchmarks and the relay comparison.
-	$(GO) test -run '^$$' -bench . -benchmem ./modules/... ./services/... ./routers/...
+	$(GO) test -run '^$$' -bench . -benchmem ./modules/... ./services/... ./routers/... ./internal/...
 	@$(BIN)/bench -seed $(SEED)
 
 measure: ## Measure the routing policies (tables in docs/measurements.md).
 	$(GO) run ./tests/measure -seed $(SEED)
 
+replay: ## Play recorded loads against the decision code and a baseline, with plots (CASE=name for one).
+	$(GO) run ./tests/replay -seed $(SEED) -case "$(CASE)"
+
 soak: build ## Run the fault soak with SOAK_SEED (0: fresh seeds) and the mixed-fault test in its long form.
 	$(BIN)/soak -seed $(SOAK_SEED) -runs $(SOAK_RUNS)
 	SOAK=1 $(GO) test -count=1 -timeout 30m ./tests/integration/... -ginkgo.focus 'mixed faults'
--- /dev/null
+++ b/internal/direct/transporter/bench_test.go
@@ -0,0 +1,83 @@
+package transporter
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/recorder"
+	"github.com/bluebelldyke/bluebelldyke/models/directory"
+	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+	"github.com/bluebelldyke/bluebelldyke/services/steerer"
+)
+
+var benchLayout = editor.Layout{
+	Size: 30, SourceIP: 4, SourcePort: 8, DestinationIP: 10, DestinationPort: 14, DataLength: 16, Flags: 18, Sequence: 20, Acknowledged: 24,
+	FlagSYN: 1, FlagACK: 2, FlagFIN: 4, FlagRST: 8,
+}
+
+func benchSocket(b *testing.B) (*net.UDPConn, netip.AddrPort) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = conn.Close() })
+	return conn, conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// BenchmarkForward compares the path of a packet of an established flow with a bare relay, which reads a datagram and
+// writes it behind the same prefix. Both include the generator's write. Target: at least 0.85 of the relay's rate.
+func BenchmarkForward(b *testing.B) {
+	generator, _ := benchSocket(b)
+	_, sink := benchSocket(b)
+	service := netip.MustParseAddrPort("198.18.0.1:443")
+	packet := make([]byte, benchLayout.Size)
+	copy(packet[benchLayout.SourceIP:], []byte{100, 64, 0, 7})
+	copy(packet[benchLayout.DestinationIP:], service.Addr().AsSlice())
+	binary.BigEndian.PutUint16(packet[benchLayout.DestinationPort:], service.Port())
+	packet[benchLayout.Flags] = benchLayout.FlagACK
+
+	b.Run("relay", func(b *testing.B) {
+		conn, bind := benchSocket(b)
+		buffer := make([]byte, prefixSize+maxPacket)
+		for b.Loop() {
+			_, _ = generator.WriteToUDPAddrPort(packet, bind)
+			n, _, err := conn.ReadFromUDPAddrPort(buffer[prefixSize:])
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = conn.WriteToUDPAddrPort(buffer[:prefixSize+n], sink)
+		}
+	})
+	b.Run("daemon", func(b *testing.B) {
+		conn, bind := benchSocket(b)
+		if err := conn.Close(); err != nil {
+			b.Fatal(err)
+		}
+		s := steerer.New(steerer.Config{AvailabilityZone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+		t, err := New(Config{Bind: bind, Layout: benchLayout, Steerer: s, Recorder: recorder.New(recorder.Config{Logger: zap.NewNop(), Budget: 1})})
+		if err != nil {
+			b.Fatal(err)
+		}
+		t.SetConfiguration(&directory.Configuration{Version: 1, Routes: []directory.Route{{Address: service, Shares: []directory.Share{{Service: "s", Weight: 1}}}}})
+		t.SetListing(&directory.Listing{Revision: 1, Servers: []directory.BackendServer{{ID: 7, Service: "s", AvailabilityZone: "a", Slots: 2, Address: sink}}})
+		opening := editor.Packet{Source: netip.MustParseAddrPort("100.64.0.7:0"), Destination: service, Flags: editor.Flags{SYN: true}}
+		benchLayout.SetTag(packet, s.Steer(time.Now(), &opening).Tag)
+		w := worker{buffer: make([]byte, prefixSize+maxPacket), reset: make([]byte, benchLayout.Size)}
+		b.ReportAllocs()
+		for b.Loop() {
+			_, _ = generator.WriteToUDPAddrPort(packet, bind)
+			if err := t.step(&w); err != nil {
+				b.Fatal(err)
+			}
+		}
+		if n := t.counts.causes[steerer.Established].Load(); n < uint64(b.N) {
+			b.Fatalf("%d of %d packets forwarded", n, b.N)
+		}
+	})
+}
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -160,39 +160,49 @@
 }
 
 func (t *Transporter) forward(ctx context.Context) error {
-	buffer := make([]byte, prefixSize+maxPacket)
-	reset := make([]byte, t.c.Layout.Size)
-	var p editor.Packet
+	w := worker{buffer: make([]byte, prefixSize+maxPacket), reset: make([]byte, t.c.Layout.Size)}
 	for {
-		n, _, err := t.conn.ReadFromUDPAddrPort(buffer[prefixSize:])
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			continue // an ICMP error of an earlier packet
-		}
-		packet := buffer[prefixSize : prefixSize+n]
-		if err := t.c.Layout.Parse(packet, &p); err != nil {
-			t.counts.malformed.Add(1)
-			continue
-		}
-		now := time.Now()
-		t.mu.Lock()
-		d := t.c.Steerer.Steer(now, &p)
-		t.c.Recorder.Decision(now, &p, &d)
-		t.mu.Unlock()
-		t.counts.decided(&d)
-		switch d.Action {
-		case steerer.Forward:
-			binary.BigEndian.PutUint64(buffer, uint64(d.Server))
-			t.c.Layout.SetTag(packet, d.Tag)
-			_, _ = t.conn.WriteToUDPAddrPort(buffer[:prefixSize+n], d.Address) // a lost packet is sent again by its caller
-		case steerer.Reset:
-			t.reset(reset, &p)
+		if err := t.step(&w); err != nil && ctx.Err() != nil {
+			return nil
 		}
 	}
 }
 
+// worker holds what one loop needs, so that a packet allocates nothing.
+type worker struct {
+	buffer, reset []byte
+	packet        editor.Packet
+}
+
+// step reads a packet, decides about it and carries the decision out. An error is that of the socket, such as the ICMP
+// answer to an earlier packet.
+func (t *Transporter) step(w *worker) error {
+	n, _, err := t.conn.ReadFromUDPAddrPort(w.buffer[prefixSize:])
+	if err != nil {
+		return err
+	}
+	packet := w.buffer[prefixSize : prefixSize+n]
+	if err := t.c.Layout.Parse(packet, &w.packet); err != nil {
+		t.counts.malformed.Add(1)
+		return nil
+	}
+	now := time.Now()
+	t.mu.Lock()
+	d := t.c.Steerer.Steer(now, &w.packet)
+	t.c.Recorder.Decision(now, &w.packet, &d)
+	t.mu.Unlock()
+	t.counts.decided(&d)
+	switch d.Action {
+	case steerer.Forward:
+		binary.BigEndian.PutUint64(w.buffer, uint64(d.Server))
+		t.c.Layout.SetTag(packet, d.Tag)
+		_, _ = t.conn.WriteToUDPAddrPort(w.buffer[:prefixSize+n], d.Address) // a lost packet is sent again by its caller
+	case steerer.Reset:
+		t.reset(w.reset, &w.packet)
+	}
+	return nil
+}
+
 // reset sends the answer to p that resets its flow. Callers are reached at the port that their packets come to here.
 func (t *Transporter) reset(buffer []byte, p *editor.Packet) {
 	to := netip.AddrPortFrom(p.Source.Addr(), t.c.Bind.Port())
--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -37,6 +37,7 @@
 // health is what flows tell of a backend server: packets that callers repeat because nothing came back count against it,
 // and any answer clears it.
 type health struct {
+	ignore bool // nothing counts
 	// lastAnswer is the time of the last sign of life. An entry may lapse while its backend server lives and serves.
 	lastAnswer time.Time
 	repeating  int           // flows that repeat packets since the last answer
@@ -49,7 +50,7 @@
 
 // strike counts a flow that repeats packets.
 func (h *health) strike(now time.Time, f *flow) {
-	if f.struck {
+	if f.struck || h.ignore {
 		return
 	}
 	f.struck = true
@@ -71,6 +72,9 @@
 
 // unanswered counts an opening packet of the flow that got no answer in openWait.
 func (h *health) unanswered(now time.Time, f *flow) {
+	if h.ignore {
+		return
+	}
 	before := h.suspected()
 	h.refused++
 	h.suspect(now, before)
--- a/services/steerer/placement.go
+++ b/services/steerer/placement.go
@@ -6,8 +6,8 @@
 	// spillFactor and spillFlows are by how much the own availability zone's backend servers must carry more flows than
 	// the fleet's mean before new flows go to another one: crossing costs two link delays and dear bytes, and small counts
 	// differ by chance.
-	spillFactor = 1.25
-	spillFlows  = 2
+	spillFactor = 1.1
+	spillFlows  = 1
 	// suspicion is added to the load of a suspected backend server. No number of flows reaches it: such a one gets new
 	// flows only when there is no other.
 	suspicion = 1 << 24
@@ -94,6 +94,9 @@
 // work returns the open flows that this daemon has seen at the backend server, with the requests that wait there
 // and the flows that do not open.
 func (b *server) work(now time.Time) int {
+	if b.ignore {
+		return b.flows
+	}
 	return b.flows + waitingWeight*b.waiting(now) + openingWeight*b.opening
 }
 
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -79,6 +79,8 @@
 type Config struct {
 	AvailabilityZone string
 	Random           *rand.Rand
+	// IgnoreFlows switches off what is learned of backend servers from packets: for comparisons.
+	IgnoreFlows bool
 }
 
 // Steerer decides about the packets of one daemon.
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -83,9 +83,9 @@
 		known := s.servers[entry.ID]
 		switch {
 		case known == nil:
-			s.servers[entry.ID] = &server{BackendServer: entry, listed: now}
+			s.servers[entry.ID] = &server{BackendServer: entry, listed: now, health: health{ignore: s.c.IgnoreFlows}}
 		case known.Incarnation != entry.Incarnation || known.Address != entry.Address:
-			known.BackendServer, known.listed, known.gone, known.health, known.reports, known.load = entry, now, time.Time{}, health{}, reports{}, load{}
+			known.BackendServer, known.listed, known.gone, known.health, known.reports, known.load = entry, now, time.Time{}, health{ignore: s.c.IgnoreFlows}, reports{}, load{}
 		default:
 			known.BackendServer, known.gone = entry, time.Time{}
 		}
