steerer: quiet flows do not count as load

Cause: when the fabric moves flows to another daemon, the earlier one went on counting them until the idle time-out (15 s), so rolling stops skewed placement. Change: a flow that is silent for 4 s counts no longer, until its next packet.

--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// quietAfter is how long a flow must be silent to count no longer: callers pause for about a second between requests, and
+	// the fabric moves flows to other daemons, which then count them.
+	quietAfter = 4 * time.Second
 	// maxFlows bounds the flows that are watched. Flows beyond it are forwarded like any other, but not counted.
 	maxFlows = 1 << 16
 )
@@ -25,6 +28,7 @@
 	seen     time.Time
 	opening  bool
 	closing  bool
+	counted  bool // among the open flows of its server
 	struck   bool // counted among the repeating flows of its server
 	waiting  bool // a request was sent and no answer was seen
 }
@@ -35,7 +39,7 @@
 	}
 	f := &flow{server: target, sequence: p.Sequence, placed: now, seen: now, opening: p.Flags.SYN}
 	s.flows[key] = f
-	target.flows++
+	f.count(true)
 	if f.opening {
 		s.awaitOpen(now, key, f)
 	}
@@ -70,11 +74,22 @@
 	}
 }
 
+// count counts the flow among the open flows of its server, or no longer.
+func (f *flow) count(open bool) {
+	if f.counted == open {
+		return
+	}
+	f.counted = open
+	if open {
+		f.server.flows++
+	} else {
+		f.server.flows--
+	}
+}
+
 func (s *Steerer) forget(key flowKey) {
 	if f, ok := s.flows[key]; ok {
-		if !f.closing {
-			f.server.flows--
-		}
+		f.count(false)
 		delete(s.flows, key)
 	}
 }
@@ -102,10 +117,10 @@
 	case p.Flags.RST:
 		s.forget(key)
 		return
-	case p.Flags.FIN && !f.closing:
+	case p.Flags.FIN:
 		f.closing = true
-		f.server.flows--
 	}
+	f.count(!f.closing)
 	switch {
 	case f.opening, int32(p.Acknowledged-f.received) > 0:
 		f.received = p.Acknowledged
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -203,9 +203,9 @@
 		f.placed = now
 		return s.send(f.server, key.service, Copied)
 	}
-	f.server.flows--
-	target.flows++
+	f.count(false)
 	f.server, f.placed, f.seen = target, now, now
+	f.count(true)
 	s.awaitOpen(now, key, f)
 	return s.send(target, key.service, Moved)
 }
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -129,8 +129,11 @@
 // Sweep forgets what is too old. It is to be called about once a second.
 func (s *Steerer) Sweep(now time.Time) {
 	for key, f := range s.flows {
-		if now.Sub(f.seen) > s.idleTimeout {
+		switch quiet := now.Sub(f.seen); {
+		case quiet > s.idleTimeout:
 			s.forget(key)
+		case quiet > quietAfter:
+			f.count(false)
 		}
 	}
 	expired := false
