lister: tell large changes of the list in steps

Change: a change goes out in steps of 20 entries, each with the digest after it; the digest of a list is the sum of those of its entries, so that a step costs only its own part. A step heard again is no reason to ask.

--- a/internal/direct/follower/exchange.go
+++ b/internal/direct/follower/exchange.go
@@ -26,6 +26,8 @@
 	maxParts = 2048
 	// askInterval is the shortest time between two requests for the same document: it covers the transfer of a usual one.
 	askInterval = 150 * time.Millisecond
+	// maxSteps bounds the messages about one read: 500 changed entries. With more, peers ask for the whole list.
+	maxSteps = 25
 	// maxFindings bounds the findings of one message, which then takes 1,000 bytes.
 	maxFindings = 40
 	// largeConfiguration is the number of routes above which a configuration is read from the platform: 100 take 6 KB,
@@ -35,29 +37,36 @@
 	wantedWait = 2 * askInterval
 )
 
-// announce tells the peers what this daemon believes, with the difference to the list before, if there is one.
-func (f *Follower) announce(d *lister.Delta) {
+// announce tells the peers what this daemon believes, with the steps from the list before, if there were any.
+func (f *Follower) announce(steps []lister.Delta) {
 	f.mu.Lock()
-	n := f.news(d)
+	messages := f.news(steps)
 	f.mu.Unlock()
-	f.tell(n, f.audience(true))
+	f.tell(messages, f.audience(true))
 }
 
-// news returns what this daemon believes. The caller holds mu.
-func (f *Follower) news(d *lister.Delta) *news {
+// news returns what this daemon believes, one message for each step. The caller holds mu.
+func (f *Follower) news(steps []lister.Delta) []*news {
 	now := time.Now()
-	n := &news{zone: f.c.AvailabilityZone}
+	n := news{zone: f.c.AvailabilityZone}
 	if f.configuration != nil {
 		n.configVersion, n.configRoutes, n.configAge = f.configuration.Version, len(f.configuration.Routes), now.Sub(f.configAsOf)
 	}
-	if f.servers.Known() {
-		n.listingAge = now.Sub(f.servers.AsOf())
-		n.delta = lister.Delta{Revision: f.servers.Revision(), Base: f.servers.Digest(), Digest: f.servers.Digest()}
-		if d != nil && d.Digest == f.servers.Digest() {
-			n.delta = *d
-		}
+	if !f.servers.Known() {
+		return []*news{&n}
+	}
+	n.listingAge = now.Sub(f.servers.AsOf())
+	if len(steps) == 0 || len(steps) > maxSteps || steps[len(steps)-1].Digest != f.servers.Digest() {
+		// Peers that have another list ask for the whole one.
+		steps = []lister.Delta{{Revision: f.servers.Revision(), Base: f.servers.Digest(), Digest: f.servers.Digest()}}
+	}
+	list := make([]*news, len(steps))
+	for i := range steps {
+		m := n
+		m.delta = steps[i]
+		list[i] = &m
 	}
-	return n
+	return list
 }
 
 // audience returns the members of the own availability zone and, when abroad is set, contacts in each other one.
@@ -79,23 +88,16 @@
 	return list
 }
 
-func (f *Follower) tell(n *news, to []netip.AddrPort) {
-	payload, err := n.encode()
-	if err != nil {
-		f.c.Logger.Error("news not encoded", zap.Error(err))
-		return
-	}
-	if len(payload) > partSize {
-		// Too much for a datagram: peers that need it ask for the whole list.
-		n.delta.Changed, n.delta.Removed = nil, nil
-		n.delta.Base = n.delta.Digest
-		if payload, err = n.encode(); err != nil {
+func (f *Follower) tell(messages []*news, to []netip.AddrPort) {
+	for _, n := range messages {
+		payload, err := n.encode()
+		if err != nil {
 			f.c.Logger.Error("news not encoded", zap.Error(err))
 			return
 		}
-	}
-	for _, address := range to {
-		f.c.Peers.Notify(address, payload)
+		for _, address := range to {
+			f.c.Peers.Notify(address, payload)
+		}
 	}
 }
 
@@ -136,7 +138,7 @@
 func (f *Follower) heard(from netip.AddrPort, n *news) {
 	now := time.Now()
 	f.mu.Lock()
-	fresher := false
+	fresher, changed := false, false
 	if n.delta.Revision > 0 {
 		asOf := now.Add(-n.listingAge - transit)
 		before := f.servers.AsOf()
@@ -145,7 +147,7 @@
 		if outcome == lister.Foreign {
 			f.request(from, listingDocument)
 		}
-		fresher = f.servers.AsOf().After(before)
+		fresher, changed = f.servers.AsOf().After(before), outcome == lister.Changed
 	}
 	switch {
 	case n.configVersion == 0:
@@ -156,9 +158,9 @@
 		f.adopt(nil, now.Add(-n.configAge-transit))
 		fresher = fresher || f.configAsOf.After(before)
 	}
-	var forward *news
-	if fresher && n.zone != f.c.AvailabilityZone {
-		forward = f.news(&n.delta)
+	var forward []*news
+	if (fresher || changed) && n.zone != f.c.AvailabilityZone {
+		forward = f.news([]lister.Delta{n.delta})
 	}
 	f.mu.Unlock()
 	if forward != nil {
--- a/internal/direct/follower/follower_test.go
+++ b/internal/direct/follower/follower_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -226,6 +227,11 @@
 }
 
 func (d *daemon) Notify(to netip.AddrPort, payload []byte) bool {
+	if m, err := decode(payload); err == nil {
+		if _, ok := m.(*request); ok {
+			d.fleet.requests.Add(1)
+		}
+	}
 	for _, o := range d.fleet.daemons {
 		if o.address == to && !o.isCut() && !d.isCut() {
 			time.AfterFunc(4*time.Millisecond, func() { o.Notified(d.address, payload) })
@@ -246,7 +252,8 @@
 
 type fleet struct {
 	*store
-	daemons []*daemon
+	daemons  []*daemon
+	requests atomic.Int64 // for whole documents
 }
 
 // run runs a fleet in simulated time until the test function returns.
@@ -361,6 +368,23 @@
 	})
 }
 
+// TestLargeChange guards against a whole fleet that asks for the whole list because a change does not fit a datagram.
+func TestLargeChange(t *testing.T) {
+	run(t, 10, threeZones, func(f *fleet) {
+		before := f.requests.Load()
+		f.change(func() {
+			for id := 10; id < 210; id++ {
+				f.servers = append(f.servers, backend(id))
+			}
+		})
+		time.Sleep(bound)
+		f.expect(t, 1, 202)
+		if n := f.requests.Load() - before; n > 0 {
+			t.Errorf("%d requests for whole documents", n)
+		}
+	})
+}
+
 // TestOutage guards against reads that never come back after the platform was away, and against calls without pause.
 func TestOutage(t *testing.T) {
 	run(t, 3, threeZones, func(f *fleet) {
--- a/internal/direct/follower/listing.go
+++ b/internal/direct/follower/listing.go
@@ -38,7 +38,7 @@
 		asked = false
 		backoff.Reset()
 		f.mu.Lock()
-		delta, outcome := f.servers.Replace(started, snapshot.Listing)
+		steps, outcome := f.servers.Replace(started, snapshot.Listing)
 		f.apply(outcome)
 		changed := false
 		if outcome != lister.Outdated && snapshot.ConfigurationRevision > 0 {
@@ -49,7 +49,7 @@
 		}
 		f.mu.Unlock()
 		if outcome != lister.Outdated || changed {
-			f.announce(&delta)
+			f.announce(steps)
 		}
 	}
 }
--- a/internal/direct/follower/wire.go
+++ b/internal/direct/follower/wire.go
@@ -78,6 +78,7 @@
 	Revision, Base, Digest uint64
 	Changed                []wireServer
 	Removed                []uint64
+	More                   bool
 	ListingAge             uint32 // ms
 	ConfigVersion          uint64
 	ConfigRoutes           uint32
@@ -144,7 +145,7 @@
 
 func (n *news) encode() ([]byte, error) {
 	w := wireNews{
-		Zone: n.zone, Revision: n.delta.Revision, Base: n.delta.Base, Digest: n.delta.Digest, ListingAge: toMilliseconds(n.listingAge),
+		Zone: n.zone, Revision: n.delta.Revision, Base: n.delta.Base, Digest: n.delta.Digest, More: n.delta.More, ListingAge: toMilliseconds(n.listingAge),
 		ConfigVersion: n.configVersion, ConfigRoutes: uint32(n.configRoutes), ConfigAge: toMilliseconds(n.configAge),
 	}
 	for i := range n.delta.Changed {
@@ -225,7 +226,7 @@
 		return nil, eris.Wrapf(errMalformed, "%v", err)
 	}
 	n := &news{
-		zone: w.Zone, delta: lister.Delta{Revision: w.Revision, Base: w.Base, Digest: w.Digest}, listingAge: fromMilliseconds(w.ListingAge),
+		zone: w.Zone, delta: lister.Delta{Revision: w.Revision, Base: w.Base, Digest: w.Digest, More: w.More}, listingAge: fromMilliseconds(w.ListingAge),
 		configVersion: w.ConfigVersion, configRoutes: int(w.ConfigRoutes), configAge: fromMilliseconds(w.ConfigAge),
 	}
 	for i := range w.Changed {
--- a/services/lister/lister.go
+++ b/services/lister/lister.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
+	"github.com/bluebelldyke/bluebelldyke/modules/ranker"
 )
 
 // Delta is the difference between two lists.
@@ -21,8 +22,13 @@
 	Base, Digest uint64
 	Changed      []directory.BackendServer
 	Removed      []directory.ServerID
+	// More is set when further steps to the list of the revision follow: the list is not right before the last one.
+	More bool
 }
 
+// MaxStep bounds the entries of one Delta, which then fits a datagram of 1,100 bytes.
+const MaxStep = 20
+
 // Outcome tells what became of an offered list or delta.
 type Outcome uint8
 
@@ -63,10 +69,11 @@
 	return &directory.Listing{Revision: l.revision, Servers: list}
 }
 
-// Replace takes a whole list that was right at asOf, and returns the difference to the list before.
-func (l *Lister) Replace(asOf time.Time, listing *directory.Listing) (Delta, Outcome) {
+// Replace takes a whole list that was right at asOf, and returns the steps from the list before to it, at least one. Each
+// step's Digest is the next one's Base.
+func (l *Lister) Replace(asOf time.Time, listing *directory.Listing) ([]Delta, Outcome) {
 	if l.Known() && listing.Revision < l.revision {
-		return Delta{}, Outdated
+		return nil, Outdated
 	}
 	d := Delta{Revision: listing.Revision, Base: l.digest}
 	present := make(map[directory.ServerID]bool, len(listing.Servers))
@@ -83,13 +90,42 @@
 	}
 	slices.Sort(d.Removed)
 	first := !l.Known()
-	l.change(&d)
+	steps := l.steps(&d)
 	l.confirm(asOf, listing.Revision)
-	d.Digest = l.digest
 	if first || len(d.Changed)+len(d.Removed) > 0 {
-		return d, Changed
+		return steps, Changed
 	}
-	return d, Confirmed
+	return steps, Confirmed
+}
+
+// steps carries out the change d in steps of at most MaxStep entries.
+func (l *Lister) steps(d *Delta) []Delta {
+	var steps []Delta
+	step := Delta{Revision: d.Revision, Base: l.digest}
+	end := func() {
+		step.Digest = l.digest
+		steps = append(steps, step)
+		step = Delta{Revision: d.Revision, Base: l.digest}
+	}
+	for _, b := range d.Changed {
+		l.put(b)
+		if step.Changed = append(step.Changed, b); len(step.Changed) == MaxStep {
+			end()
+		}
+	}
+	for _, id := range d.Removed {
+		l.remove(id)
+		if step.Removed = append(step.Removed, id); len(step.Changed)+len(step.Removed) >= MaxStep {
+			end()
+		}
+	}
+	if len(step.Changed)+len(step.Removed) > 0 || len(steps) == 0 {
+		end()
+	}
+	for i := range steps[:len(steps)-1] {
+		steps[i].More = true
+	}
+	return steps
 }
 
 // Apply takes a delta to a list that was right at asOf.
@@ -98,30 +134,52 @@
 	case l.Known() && d.Revision < l.revision:
 		return Outdated
 	case l.Known() && d.Digest == l.digest:
-		l.confirm(asOf, d.Revision)
+		l.confirm(d.asOf(asOf), d.Revision)
 		return Confirmed
+	case l.Known() && d.Base != l.digest && d.Revision == l.revision:
+		return Outdated // a step that was taken before, from another peer
 	case !l.Known() || d.Base != l.digest:
 		return Foreign
 	}
-	before := maps.Clone(l.servers)
+	before, digest := maps.Clone(l.servers), l.digest
 	l.change(d)
 	if l.digest != d.Digest {
-		l.servers = before
-		l.digest = digest(l.servers)
+		l.servers, l.digest = before, digest
 		return Foreign
 	}
-	l.confirm(asOf, d.Revision)
+	l.confirm(d.asOf(asOf), d.Revision)
 	return Changed
 }
 
+// asOf returns the time at which the list was right after the step, the zero time when further steps follow.
+func (d *Delta) asOf(t time.Time) time.Time {
+	if d.More {
+		return time.Time{}
+	}
+	return t
+}
+
 func (l *Lister) change(d *Delta) {
 	for _, b := range d.Changed {
-		l.servers[b.ID] = b
+		l.put(b)
 	}
 	for _, id := range d.Removed {
+		l.remove(id)
+	}
+}
+
+// put adds or replaces an entry. The digest is the sum of those of the entries, so that a change costs only its own part.
+func (l *Lister) put(b directory.BackendServer) {
+	l.remove(b.ID)
+	l.servers[b.ID] = b
+	l.digest += digest(&b)
+}
+
+func (l *Lister) remove(id directory.ServerID) {
+	if old, ok := l.servers[id]; ok {
+		l.digest -= digest(&old)
 		delete(l.servers, id)
 	}
-	l.digest = digest(l.servers)
 }
 
 func (l *Lister) confirm(asOf time.Time, revision uint64) {
@@ -138,27 +196,23 @@
 	return x == y
 }
 
-// digest does not depend on the order of the entries.
-func digest(servers map[directory.ServerID]directory.BackendServer) uint64 {
-	var sum uint64
-	var b []byte
-	for _, s := range servers {
-		b = binary.BigEndian.AppendUint64(b[:0], uint64(s.ID))
-		b = binary.BigEndian.AppendUint64(b, uint64(s.Incarnation))
-		b = binary.BigEndian.AppendUint32(b, uint32(s.Slots))
-		b = append(b, s.Service...)
-		b = append(b, 0)
-		b = append(b, s.AvailabilityZone...)
-		b = append(b, 0)
-		ip := s.Address.Addr().As16()
-		b = append(b, ip[:]...)
-		b = binary.BigEndian.AppendUint16(b, s.Address.Port())
-		if s.Leaving {
-			b = append(b, 1)
-		}
-		h := fnv.New64a()
-		_, _ = h.Write(b) // never fails, as documented
-		sum += h.Sum64()
+// digest identifies an entry, but for what grows by itself.
+func digest(s *directory.BackendServer) uint64 {
+	b := make([]byte, 0, 96)
+	b = binary.BigEndian.AppendUint64(b, uint64(s.ID))
+	b = binary.BigEndian.AppendUint64(b, uint64(s.Incarnation))
+	b = binary.BigEndian.AppendUint32(b, uint32(s.Slots))
+	b = append(b, s.Service...)
+	b = append(b, 0)
+	b = append(b, s.AvailabilityZone...)
+	b = append(b, 0)
+	ip := s.Address.Addr().As16()
+	b = append(b, ip[:]...)
+	b = binary.BigEndian.AppendUint16(b, s.Address.Port())
+	if s.Leaving {
+		b = append(b, 1)
 	}
-	return sum
+	h := fnv.New64a()
+	_, _ = h.Write(b) // never fails, as documented
+	return ranker.Mix(h.Sum64())
 }
