--- a/internal/direct/follower/exchange.go
+++ b/internal/direct/follower/exchange.go
@@ -28,6 +28,8 @@
 	askInterval = 150 * time.Millisecond
 	// maxSteps bounds the messages about one read: 500 changed entries. With more, peers ask for the whole list.
 	maxSteps = 25
+	// reorderWait is how long a step waits for one that it overtook: the jitter of a way across zones.
+	reorderWait = 30 * time.Millisecond
 	// maxFindings bounds the findings of one message, which then takes 1,000 bytes.
 	maxFindings = 40
 	// largeConfiguration is the number of routes above which a configuration is read from the platform: 100 take 6 KB,
@@ -142,12 +144,8 @@
 	if n.delta.Revision > 0 {
 		asOf := now.Add(-n.listingAge - transit)
 		before := f.servers.AsOf()
-		outcome := f.servers.Apply(asOf, &n.delta)
-		f.apply(outcome)
-		if outcome == lister.Foreign {
-			f.request(from, listingDocument)
-		}
-		fresher, changed = f.servers.AsOf().After(before), outcome == lister.Changed
+		outcome := f.take(from, asOf, &n.delta)
+		fresher, changed = f.servers.AsOf().After(before), outcome == lister.Changed || outcome == lister.Foreign
 	}
 	switch {
 	case n.configVersion == 0:
@@ -158,14 +156,55 @@
 		f.adopt(nil, now.Add(-n.configAge-transit))
 		fresher = fresher || f.configAsOf.After(before)
 	}
-	var forward []*news
-	if (fresher || changed) && n.zone != f.c.AvailabilityZone {
-		forward = f.news([]lister.Delta{n.delta})
-	}
+	forward := (fresher || changed) && n.zone != f.c.AvailabilityZone
 	f.mu.Unlock()
-	if forward != nil {
-		f.tell(forward, f.audience(false))
+	if forward {
+		n.zone = f.c.AvailabilityZone
+		n.listingAge += transit
+		n.configAge += transit
+		f.tell([]*news{n}, f.audience(false))
+	}
+}
+
+// take applies a step, and those that arrived before it. A step whose base is not held waits a moment: datagrams may
+// overtake each other. If its base does not come, the whole list is requested. The caller holds mu.
+func (f *Follower) take(from netip.AddrPort, asOf time.Time, d *lister.Delta) lister.Outcome {
+	outcome := f.servers.Apply(asOf, d)
+	switch {
+	case outcome == lister.Foreign && len(f.pending) < maxSteps:
+		f.pending = append(f.pending, pendingStep{*d, asOf})
+		if len(f.pending) == 1 {
+			time.AfterFunc(reorderWait, func() { f.settle(from) })
+		}
+	case outcome == lister.Changed:
+		for i := 0; i < len(f.pending); i++ {
+			if p := f.pending[i]; f.servers.Apply(p.asOf, &p.delta) == lister.Changed {
+				f.pending = slices.Delete(f.pending, i, i+1)
+				i = -1
+			}
+		}
 	}
+	f.apply(outcome)
+	return outcome
+}
+
+// settle requests the whole list when steps still wait for their base.
+func (f *Follower) settle(from netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.pending {
+		if f.servers.Apply(p.asOf, &p.delta) == lister.Foreign {
+			f.request(from, listingDocument)
+			break
+		}
+	}
+	f.pending = nil
+}
+
+// pendingStep is a step that waits for its base.
+type pendingStep struct {
+	delta lister.Delta
+	asOf  time.Time
 }
 
 // want gets a newer configuration that a peer has: a small one from the peer, a large one from the platform, because the
--- a/internal/direct/follower/follower.go
+++ b/internal/direct/follower/follower.go
@@ -109,6 +109,7 @@
 	configRead    uint64    // the platform's revision of the configuration that was read last
 	wanted        uint64    // version of a newer configuration that a peer has
 	wantedAt      time.Time // when it was first heard of
+	pending       []pendingStep
 	incoming      [documents]transfer
 	asked         [documents]time.Time
 }
