follower: large documents cross zones only for daemons that cannot read the platform

Change: a document of more than 16 parts goes to another zone only if the daemon insists, which it does while its reads of the platform fail.

--- a/internal/direct/follower/exchange.go
+++ b/internal/direct/follower/exchange.go
@@ -28,6 +28,8 @@
 	askInterval = 150 * time.Millisecond
 	// maxSteps bounds the messages about one read: 500 changed entries. With more, peers ask for the whole list.
 	maxSteps = 25
+	// partsAbroad bounds a document that goes to another zone: the platform's users price a call like 45 KB between zones.
+	partsAbroad = 16
 	// reorderWait is how long a step waits for one that it overtook: the jitter of a way across zones.
 	reorderWait = 30 * time.Millisecond
 	// maxFindings bounds the findings of one message, which then takes 1,000 bytes.
@@ -114,7 +116,7 @@
 	case *news:
 		f.heard(from, m)
 	case *request:
-		f.serve(from, m.document)
+		f.serve(from, m)
 	case *part:
 		f.collect(m)
 	case findings:
@@ -246,15 +248,19 @@
 		return
 	}
 	f.asked[document] = now
-	payload, err := (&request{document: document}).encode()
+	insist := f.calls.lost[callListing].Load() || f.calls.lost[callCheck].Load()
+	payload, err := (&request{document: document, insist: insist}).encode()
 	if err == nil {
 		f.c.Peers.Notify(from, payload)
 	}
 }
 
-// serve sends a whole document.
-func (f *Follower) serve(to netip.AddrPort, document document) {
+// serve sends a whole document. A large one goes to another zone only if its daemon insists: a read of the platform costs
+// less than its bytes.
+func (f *Follower) serve(to netip.AddrPort, r *request) {
 	now := time.Now()
+	document := r.document
+	near := f.isNear(to)
 	f.mu.Lock()
 	p := part{document: document}
 	var content []byte
@@ -272,6 +278,9 @@
 		return
 	}
 	p.count = (len(content) + partSize - 1) / partSize
+	if p.count > partsAbroad && !near && !r.insist {
+		return
+	}
 	for p.index = 0; p.index < p.count; p.index++ {
 		p.content = content[p.index*partSize : min((p.index+1)*partSize, len(content))]
 		payload, err := p.encode()
@@ -283,6 +292,11 @@
 	}
 }
 
+// isNear reports whether a daemon is known to be in the own availability zone.
+func (f *Follower) isNear(address netip.AddrPort) bool {
+	return slices.Contains(f.c.Peers.Zone(), address)
+}
+
 // transfer is a document that arrives in parts.
 type transfer struct {
 	revision, identity uint64
--- a/internal/direct/follower/wire.go
+++ b/internal/direct/follower/wire.go
@@ -43,7 +43,11 @@
 }
 
 // request asks for a whole document.
-type request struct{ document document }
+type request struct {
+	document document
+	// insist is set by a daemon that cannot read the platform: it needs the document at any price.
+	insist bool
+}
 
 // part is a part of a whole document.
 type part struct {
@@ -85,6 +89,12 @@
 	ConfigAge              uint32 // ms
 }
 
+type wireRequest struct {
+	_        struct{} `cbor:",toarray"`
+	Document uint8
+	Insist   bool
+}
+
 type wirePart struct {
 	_                  struct{} `cbor:",toarray"`
 	Document           uint8
@@ -157,7 +167,9 @@
 	return wrap(kindNews, w)
 }
 
-func (r *request) encode() ([]byte, error) { return wrap(kindRequest, uint8(r.document)) }
+func (r *request) encode() ([]byte, error) {
+	return wrap(kindRequest, wireRequest{Document: uint8(r.document), Insist: r.insist})
+}
 
 func (p *part) encode() ([]byte, error) {
 	return wrap(kindPart, wirePart{
@@ -198,11 +210,11 @@
 	case kindNews:
 		return decodeNews(m.Content)
 	case kindRequest:
-		var d uint8
-		if err := decoding.Unmarshal(m.Content, &d); err != nil || d >= documents {
+		var w wireRequest
+		if err := decoding.Unmarshal(m.Content, &w); err != nil || w.Document >= documents {
 			return nil, errMalformed
 		}
-		return &request{document: document(d)}, nil
+		return &request{document: document(w.Document), insist: w.Insist}, nil
 	case kindPart:
 		var w wirePart
 		if err := decoding.Unmarshal(m.Content, &w); err != nil {
