--- a/internal/direct/follower/configuration.go
+++ b/internal/direct/follower/configuration.go
@@ -65,7 +65,7 @@
 		f.mu.Lock()
 		at, known := f.configAt, f.configuration != nil
 		due := f.configPace.Due(f.configAsOf, f.rank()).Add(checkDelay)
-		if wanted := f.wantedAt.Add(wantedWait); f.wanted > 0 && wanted.Before(due) && f.wanted > f.configuration.Version {
+		if wanted := f.wantedAt.Add(wantedWait); known && wanted.Before(due) && f.wanted > f.configuration.Version {
 			due = wanted
 		}
 		f.mu.Unlock()
--- a/internal/direct/follower/listing.go
+++ b/internal/direct/follower/listing.go
@@ -61,5 +61,5 @@
 	}
 }
 
-// ReadListing asks for a read at once, because a packet names a backend server that is not in the list.
+// ReadListing asks for a read at once, such as after a pause of the process.
 func (f *Follower) ReadListing() { signal(f.listingReads) }
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -28,14 +28,21 @@
 	// findInterval is the time between two looks for findings that peers should know of.
 	findInterval = 100 * time.Millisecond
 	// pauseThreshold is the lateness of a tick that counts as a pause of the process, and freshWait how long opening
-	// packets are dropped after one until a fresh list arrives: a backend server may have left meanwhile. Their callers send
-	// copies after 200 and 400 ms.
+	// packets are dropped after one, or until the list changes: a backend server may have left meanwhile. A read takes a few
+	// ms, and callers send copies after 200 and 600 ms.
 	pauseThreshold = time.Second
 	freshWait      = 300 * time.Millisecond
 	// sweepInterval is the time between two sweeps of what the Steerer remembers.
 	sweepInterval = time.Second
 )
 
+// The views that packets need.
+const (
+	configurationView = 0
+	listingView       = 1
+	views             = 2
+)
+
 // Config holds what a Transporter is made of.
 type Config struct {
 	Bind    netip.AddrPort
@@ -52,12 +59,12 @@
 
 	counts   counts
 	mu       sync.Mutex // guards the Steerer, the Recorder and what follows
-	views    [2]bool    // whether a configuration and a list have arrived
+	arrivals [views]bool
 	ready    chan struct{}
 	findings func([]steerer.Finding)
 	refresh  func()
 	ticked   time.Time // when the process was last seen running
-	distrust time.Time // until when new flows wait for a fresh list
+	distrust time.Time // until when new flows wait for a change of the list
 }
 
 // New binds the socket.
@@ -76,7 +83,7 @@
 	defer t.mu.Unlock()
 	t.c.Steerer.SetConfiguration(time.Now(), c)
 	t.c.Recorder.Configuration(c)
-	t.arrived(0)
+	t.arrived(configurationView)
 }
 
 // SetListing replaces the backend servers.
@@ -86,7 +93,7 @@
 	t.distrust = time.Time{}
 	t.c.Steerer.SetListing(time.Now(), l)
 	t.c.Recorder.Listing(l)
-	t.arrived(1)
+	t.arrived(listingView)
 }
 
 // AddFindings takes the findings of a peer.
@@ -118,11 +125,11 @@
 func (t *Transporter) OnFindings(take func([]steerer.Finding)) { t.findings = take }
 
 func (t *Transporter) arrived(view int) {
-	t.views[view] = true
+	t.arrivals[view] = true
 	select {
 	case <-t.ready:
 	default:
-		if t.views[0] && t.views[1] {
+		if t.arrivals == [views]bool{true, true} {
 			close(t.ready)
 		}
 	}
