configurer: one reader of the log table and the platform's URL

Cause: the settings of both daemons read the same keys with code that stood twice, and a field of the steerer's servers was never read. Change: loader uses configurer.ReadLog and ReadPlatform and embeds configurer.Log; the field is gone. No change of behaviour.

--- a/internal/direct/loader/loader.go
+++ b/internal/direct/loader/loader.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"net/url"
 	"reflect"
 	"time"
 
@@ -52,7 +51,7 @@
 
 // Log selects which log lines are written and how.
 type Log struct {
-	Level, Format string
+	configurer.Log
 	// Budget is the number of lines a second for each outcome of a common decision; further ones are joined into one line.
 	Budget int
 }
@@ -86,7 +85,7 @@
 	s.Entry = readBind(root.Table("entry"))
 	s.Readiness = readBind(root.Table("readiness"))
 	s.Peer = readPeer(root.Table("peer"))
-	s.PlatformURL = readPlatform(root.Table("platform"))
+	s.PlatformURL = configurer.ReadPlatform(root.Table("platform")).URL
 	s.Grace = readGrace(root.Table("stop"))
 	s.LeavingBound, s.ConfigurationBound = readBounds(root.Table("bounds"))
 	s.Log = readLog(root.Table("log"))
@@ -120,18 +119,6 @@
 	return p
 }
 
-func readPlatform(t *inspector.Table) string {
-	t.Require("write the URL of the platform's store", "url")
-	text, ok := t.Text("url")
-	if ok {
-		if u, err := url.Parse(text); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
-			t.Problem("url", fmt.Sprintf("%q is not an HTTP URL", text), `write a URL such as "http://10.0.0.1:7400"`)
-		}
-	}
-	t.Close()
-	return text
-}
-
 func readGrace(t *inspector.Table) time.Duration {
 	t.Require("write the time until the process is ended by force", "grace")
 	grace, _ := t.Duration("grace", minGrace, maxGrace)
@@ -148,16 +135,10 @@
 }
 
 func readLog(t *inspector.Table) Log {
-	l := Log{Level: "info", Format: "json", Budget: defaultBudget}
+	l := Log{Log: configurer.ReadLog(t), Budget: defaultBudget}
 	if budget, ok := t.Integer("budget", 1, maxBudget); ok {
 		l.Budget = int(budget)
 	}
-	if level, ok := t.Choice("level", "debug", "info", "warn", "error"); ok {
-		l.Level = level
-	}
-	if format, ok := t.Choice("format", "json", "text"); ok {
-		l.Format = format
-	}
 	t.Close()
 	return l
 }
--- a/modules/configurer/parse.go
+++ b/modules/configurer/parse.go
@@ -34,11 +34,13 @@
 	root.Require("add the table; custom/conf/app.example.toml shows it", "entry", "peer", "platform")
 	s.Entry = readEntry(root.Table("entry"))
 	s.Peer = readPeer(root.Table("peer"))
-	s.Platform = readPlatform(root.Table("platform"))
+	s.Platform = ReadPlatform(root.Table("platform"))
 	s.Operator.Bind = readBind(root.Table("operator"), defaultOperatorBind)
 	s.Metrics.Bind = readBind(root.Table("metrics"), defaultMetricsBind)
 	s.Stop = readStop(root.Table("stop"))
-	s.Log = readLog(root.Table("log"))
+	logging := root.Table("log")
+	s.Log = ReadLog(logging)
+	logging.Close()
 	root.Close()
 	if s.Operator.Bind == s.Metrics.Bind && s.Operator.Bind.Port() != 0 {
 		report.Add("metrics.bind", fmt.Sprintf("%s is also operator.bind", s.Metrics.Bind), "give each its own address or port")
@@ -101,7 +103,8 @@
 	return [KeySize]byte(b)
 }
 
-func readPlatform(t *inspector.Table) Platform {
+// ReadPlatform reads where the platform is.
+func ReadPlatform(t *inspector.Table) Platform {
 	t.Require("write the base URL of the platform's configuration service", "url")
 	text, ok := t.Text("url")
 	if ok {
@@ -132,7 +135,8 @@
 	return s
 }
 
-func readLog(t *inspector.Table) Log {
+// ReadLog returns what a table selects of log lines. The caller closes the table, which may have further keys.
+func ReadLog(t *inspector.Table) Log {
 	l := Log{Level: "info", Format: "json"}
 	if level, ok := t.Choice("level", "debug", "info", "warn", "error"); ok {
 		l.Level = level
@@ -140,6 +144,5 @@
 	if format, ok := t.Choice("format", "json", "text"); ok {
 		l.Format = format
 	}
-	t.Close()
 	return l
 }
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -31,7 +31,6 @@
 type server struct {
 	directory.BackendServer
 	gone   time.Time // when its entry was first missing; zero while it is listed
-	listed time.Time // when it was first listed in its incarnation
 	flows  int       // open flows that this daemon has seen
 	purged bool      // its flows were reset since it was lost
 	health
@@ -83,9 +82,9 @@
 		known := s.servers[entry.ID]
 		switch {
 		case known == nil:
-			s.servers[entry.ID] = &server{BackendServer: entry, listed: now, health: health{ignore: s.c.IgnoreFlows}}
+			s.servers[entry.ID] = &server{BackendServer: entry, health: health{ignore: s.c.IgnoreFlows}}
 		case known.Incarnation != entry.Incarnation || known.Address != entry.Address:
-			known.BackendServer, known.listed, known.gone, known.health, known.reports, known.load = entry, now, time.Time{}, health{ignore: s.c.IgnoreFlows}, reports{}, load{}
+			known.BackendServer, known.gone, known.health, known.reports, known.load = entry, time.Time{}, health{ignore: s.c.IgnoreFlows}, reports{}, load{}
 		default:
 			known.BackendServer, known.gone = entry, time.Time{}
 		}
