transporter: bind the entry socket before the daemon is wired

Change: runner.Run binds first, and hands the socket on. The test sends its first packet before the Transporter exists.

Kept, because it costs nothing and a lost packet can't be had back.

--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -68,10 +69,15 @@
 
 // Run runs a daemon until ctx ends and its planned stop is done.
 func Run(ctx context.Context, c Config) error {
+	entry, err := transporter.Listen(c.Settings.Entry)
+	if err != nil {
+		return err
+	}
+	defer entry.Close() // Transporter.Run closes it earlier, if it runs
 	var d duties
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(c, c.Settings, c.Layout),
+		fx.Supply(c, c.Settings, c.Layout, entry),
 		fx.Provide(func() follower.Source { return c.Source }, newRandom, newSpooler, newLogger, newMetrics, newTransporter, newPeers, newFollower, newResponder, newReloader),
 		fx.Invoke(func(in duties) { d = in }),
 	)
@@ -112,15 +118,12 @@
 }
 
 func newTransporter(
-	s loader.Settings, layout editor.Layout, random *rand.Rand, logger *zap.Logger, meter metric.Meter,
+	s loader.Settings, entry *net.UDPConn, layout editor.Layout, random *rand.Rand, logger *zap.Logger, meter metric.Meter,
 ) (*transporter.Transporter, error) {
-	t, err := transporter.New(transporter.Config{
-		Bind: s.Entry, Layout: layout, Steerer: steerer.New(steerer.Config{AvailabilityZone: s.AvailabilityZone, Random: random}),
+	t := transporter.New(transporter.Config{
+		Entry: entry, Layout: layout, Steerer: steerer.New(steerer.Config{AvailabilityZone: s.AvailabilityZone, Random: random}),
 		Recorder: recorder.New(recorder.Config{Logger: logger, Budget: s.Log.Budget}),
 	})
-	if err != nil {
-		return nil, err
-	}
 	return t, t.Register(meter)
 }
 
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -45,7 +45,8 @@
 
 // Config holds what a Transporter is made of.
 type Config struct {
-	Bind    netip.AddrPort
+	// Entry is the socket that Listen returned. A Transporter closes it at the end of Run.
+	Entry   *net.UDPConn
 	Layout  editor.Layout
 	Steerer *steerer.Steerer
 	// Recorder writes the decisions.
@@ -56,6 +57,7 @@
 type Transporter struct {
 	c    Config
 	conn *net.UDPConn
+	port uint16 // of the entry socket
 
 	counts   counts
 	mu       sync.Mutex // guards the Steerer, the Recorder and what follows
@@ -67,14 +69,20 @@
 	distrust time.Time // until when new flows wait for a change of the list
 }
 
-// New binds the socket.
-func New(c Config) (*Transporter, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(c.Bind))
+// Listen binds the entry socket. A daemon that starts does this first: packets wait in the socket until it can decide about
+// them, and those that arrive before are lost.
+func Listen(bind netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(bind))
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen on UDP %s: end the process that uses it or change entry.bind", c.Bind)
+		return nil, eris.Wrapf(err, "listen on UDP %s: end the process that uses it or change entry.bind", bind)
 	}
 	_ = conn.SetReadBuffer(receiveBuffer) // a smaller queue only drops earlier
-	return &Transporter{c: c, conn: conn, ready: make(chan struct{})}, nil
+	return conn, nil
+}
+
+// New returns a Transporter of the entry socket.
+func New(c Config) *Transporter {
+	return &Transporter{c: c, conn: c.Entry, port: c.Entry.LocalAddr().(*net.UDPAddr).AddrPort().Port(), ready: make(chan struct{})}
 }
 
 // SetConfiguration puts a configuration in force.
@@ -242,6 +250,6 @@
 
 // reset sends the answer to p that resets its flow. Callers are reached at the port that their packets come to here.
 func (t *Transporter) reset(buffer []byte, p *editor.Packet) {
-	to := netip.AddrPortFrom(p.Source.Addr(), t.c.Bind.Port())
+	to := netip.AddrPortFrom(p.Source.Addr(), t.port)
 	_, _ = t.conn.WriteToUDPAddrPort(t.c.Layout.Reset(buffer, p), to) // a caller that misses it repeats its packet
 }
--- a/internal/direct/transporter/transporter_test.go
+++ b/internal/direct/transporter/transporter_test.go
@@ -34,7 +34,7 @@
 	return conn
 }
 
-// TestForward guards against packets that are dropped before the first views have arrived, against changes of a packet
+// TestForward guards against packets that are lost before the daemon is wired or before its first views have arrived, against changes of a packet
 // beyond its tag, and against a prefix that names another backend server.
 func TestForward(t *testing.T) {
 	g := NewWithT(t)
@@ -42,22 +42,23 @@
 	free := listen(t, "127.0.0.1")
 	bind := free.LocalAddr().(*net.UDPAddr).AddrPort()
 	g.Expect(free.Close()).To(Succeed())
-	x, err := transporter.New(transporter.Config{
-		Bind: bind, Layout: layout, Steerer: steerer.New(steerer.Config{AvailabilityZone: "a", Random: rand.New(rand.NewPCG(1, 1))}),
-		Recorder: recorder.New(recorder.Config{Logger: zap.NewNop(), Budget: 1}),
-	})
+	entry, err := transporter.Listen(bind)
 	g.Expect(err).NotTo(HaveOccurred())
-	ctx, cancel := context.WithCancel(t.Context())
-	var group errgroup.Group
-	group.Go(func() error { return x.Run(ctx) })
-
 	packet := make([]byte, layout.Size)
 	copy(packet[layout.SourceIP:], []byte{100, 64, 0, 7})
 	copy(packet[layout.DestinationIP:], []byte{198, 18, 0, 1})
 	binary.BigEndian.PutUint16(packet[layout.DestinationPort:], 443)
 	packet[layout.Flags] = layout.FlagSYN
-	_, err = caller.WriteToUDPAddrPort(packet, bind)
+	_, err = caller.WriteToUDPAddrPort(packet, bind) // the daemon is not wired yet
 	g.Expect(err).NotTo(HaveOccurred())
+	x := transporter.New(transporter.Config{
+		Entry: entry, Layout: layout, Steerer: steerer.New(steerer.Config{AvailabilityZone: "a", Random: rand.New(rand.NewPCG(1, 1))}),
+		Recorder: recorder.New(recorder.Config{Logger: zap.NewNop(), Budget: 1}),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return x.Run(ctx) })
+
 	time.Sleep(50 * time.Millisecond)
 	x.SetConfiguration(&directory.Configuration{Version: 1, Routes: []directory.Route{{
 		Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []directory.Share{{Service: "s", Weight: 1}},
