runner: a stopping daemon ends when packets no longer arrive

Cause: a daemon that stops ended 150 ms after its second refused check.

Change: it ends when two checks were refused and no packet has arrived for 150 ms, at the latest 0.5 s before the grace ends. One log line tells which it was.

--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -39,7 +39,9 @@
 	stopPoll = 20 * time.Millisecond
 	// refusals is the number of checks that the fabric must miss to take a daemon out of rotation.
 	refusals = 2
-	// settle is how long packets that were on their way when the fabric changed its choice may still arrive.
+	// settle is how long no packet may have arrived for the fabric to send none any more: packets that were on their way
+	// when it changed its choice arrive within this time. With fewer than half of the zone's daemons in rotation the fabric
+	// sends to all of them, also to those that refuse.
 	settle = 150 * time.Millisecond
 	// graceReserve is the part of the grace that a stopping daemon leaves for its exit.
 	graceReserve = 500 * time.Millisecond
@@ -205,15 +207,47 @@
 	return err
 }
 
+// checks tells how many readiness checks were refused.
+type checks interface{ Refused() uint64 }
+
+// entry tells for how long no packet has arrived.
+type entry interface{ Quiet() time.Duration }
+
+// release is why a stopping daemon may end.
+type release int
+
+const (
+	outOfRotation release = iota // the fabric has noticed, and sends nothing any more
+	graceOver
+	workEnded // a duty has failed
+)
+
+var releaseNames = [...]string{"out-of-rotation", "grace-over", "work-ended"}
+
+// String returns the reason as logs spell it.
+func (r release) String() string { return releaseNames[r] }
+
+// awaitRelease waits until a daemon that refuses readiness may end: the fabric has missed enough checks and sends nothing any
+// more, or the time is over.
+func awaitRelease(work context.Context, most time.Duration, c checks, e entry) release {
+	deadline := time.Now().Add(most)
+	before := c.Refused()
+	for time.Now().Before(deadline) {
+		if work.Err() != nil {
+			return workEnded
+		}
+		if c.Refused() >= before+refusals && e.Quiet() >= settle {
+			return outOfRotation
+		}
+		time.Sleep(stopPoll)
+	}
+	return graceOver
+}
+
 // stop refuses readiness and returns when the fabric has noticed, or when the grace is nearly over.
 func (d *duties) stop(work context.Context) {
 	d.Logger.Info("daemon stops", zap.Duration("grace", d.Settings.Grace))
 	d.Responder.SetReady(false)
 	d.Peers.Leave()
-	deadline := time.Now().Add(d.Settings.Grace - graceReserve)
-	before := d.Responder.Refused()
-	for work.Err() == nil && time.Now().Before(deadline) && d.Responder.Refused() < before+refusals {
-		time.Sleep(stopPoll)
-	}
-	time.Sleep(settle)
+	d.Logger.Info("daemon leaves", zap.Stringer("reason", awaitRelease(work, d.Settings.Grace-graceReserve, d.Responder, d.Transporter)))
 }
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -59,8 +60,11 @@
 	conn *net.UDPConn
 	port uint16 // of the entry socket
 
+	started time.Time
+
 	counts   counts
-	mu       sync.Mutex // guards the Steerer, the Recorder and what follows
+	latest   atomic.Int64 // when the latest packet was read, as time since the start of the process
+	mu       sync.Mutex   // guards the Steerer, the Recorder and what follows
 	arrivals [views]bool
 	ready    chan struct{}
 	findings func([]steerer.Finding)
@@ -82,7 +86,10 @@
 
 // New returns a Transporter of the entry socket.
 func New(c Config) *Transporter {
-	return &Transporter{c: c, conn: c.Entry, port: c.Entry.LocalAddr().(*net.UDPAddr).AddrPort().Port(), ready: make(chan struct{})}
+	return &Transporter{
+		c: c, conn: c.Entry, port: c.Entry.LocalAddr().(*net.UDPAddr).AddrPort().Port(), started: time.Now(),
+		ready: make(chan struct{}),
+	}
 }
 
 // SetConfiguration puts a configuration in force.
@@ -146,6 +153,11 @@
 // Ready is closed once packets can be decided about.
 func (t *Transporter) Ready() <-chan struct{} { return t.ready }
 
+// Quiet returns for how long no packet has arrived.
+func (t *Transporter) Quiet() time.Duration {
+	return time.Since(t.started) - time.Duration(t.latest.Load())
+}
+
 // Run forwards packets until ctx ends. Packets that arrive before the first views wait in the socket.
 func (t *Transporter) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -226,6 +238,7 @@
 		return nil
 	}
 	now := time.Now()
+	t.latest.Store(int64(now.Sub(t.started)))
 	t.mu.Lock()
 	if now.Sub(t.ticked) > pauseThreshold {
 		t.tick(now)
