recorder: a budget for each kind of line, ages and inputs in decision lines

Only decisions about packets had a budget. Decision lines did not tell how old the views were nor what decided, and no line told of a change of the reader or of a view that is too old.

Change: each kind of line has a budget of lines and of bytes a second; beyond it lines are joined with a count, at the latest after a second. Lines of decisions tell the ages of both views, the load and the number of candidates; conditions tell their evidence. New lines: "reader changed", "view too old", "view fresh again". New metrics: placements by backend server and zone, place-time and handshake-copies as histograms. explain takes the new lines, and the lines on a lost platform, which it missed because they go on after "platform lost". The joined line is "lines joined" now, with the kind in "of".

--- a/internal/direct/follower/configuration.go
+++ b/internal/direct/follower/configuration.go
@@ -26,11 +26,14 @@
 // watchConfiguration waits for changes, so that a change is in force at once.
 func (f *Follower) watchConfiguration(ctx context.Context) {
 	backoff := f.newBackoff()
+	watcher := reader{document: configurationDocument}
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		after := f.configAt
-		f.mu.Unlock()
-		if after == 0 || f.rank().Member >= watchers { // checkConfiguration reads the first one
+		f.unlock()
+		watches := after != 0 && f.rank().Member < watchers
+		watcher.set(f, watches)
+		if !watches { // checkConfiguration reads the first one
 			sleep(ctx, watchPause, nil)
 			continue
 		}
@@ -41,7 +44,7 @@
 		case IsErrHistoryLost(err):
 			f.mu.Lock()
 			f.configAsOf = time.Time{}
-			f.mu.Unlock()
+			f.unlock()
 			signal(f.configReads)
 			f.retry(ctx, backoff)
 		case err != nil:
@@ -68,7 +71,7 @@
 		if wanted := f.wantedAt.Add(wantedWait); known && wanted.Before(due) && f.wanted > f.configuration.Version {
 			due = wanted
 		}
-		f.mu.Unlock()
+		f.unlock()
 		if !known {
 			f.ask(configurationDocument)
 		} else if wait := time.Until(due); wait > 0 && !asked {
@@ -107,7 +110,7 @@
 // whether it changed what is in force.
 func (f *Follower) read(c *directory.Configuration, at uint64, asOf time.Time) bool {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	f.configAt = max(f.configAt, at)
 	return f.adopt(c, asOf)
 }
--- a/internal/direct/follower/exchange.go
+++ b/internal/direct/follower/exchange.go
@@ -45,7 +45,7 @@
 func (f *Follower) announce(steps []lister.Delta) {
 	f.mu.Lock()
 	messages := f.news(steps)
-	f.mu.Unlock()
+	f.unlock()
 	f.tell(messages, f.audience(true))
 }
 
@@ -159,7 +159,7 @@
 		fresher = fresher || f.configAsOf.After(before)
 	}
 	forward := (fresher || changed) && n.zone != f.c.AvailabilityZone
-	f.mu.Unlock()
+	f.unlock()
 	if forward {
 		n.zone = f.c.AvailabilityZone
 		n.listingAge += transit
@@ -193,7 +193,7 @@
 // settle requests the whole list when steps still wait for their base.
 func (f *Follower) settle(from netip.AddrPort) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	for _, p := range f.pending {
 		if f.servers.Apply(p.asOf, &p.delta) == lister.Foreign {
 			f.request(from, listingDocument)
@@ -228,12 +228,12 @@
 func (f *Follower) ask(document document) {
 	f.mu.Lock()
 	peers := slices.Clone(f.c.Seeds)
-	f.mu.Unlock()
+	f.unlock()
 	if members := f.audience(true); len(members) > 0 {
 		peers = append(peers[:0], members[rand.IntN(len(members))])
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	asked := f.asked[document]
 	for _, p := range peers {
 		f.asked[document] = asked
@@ -273,7 +273,7 @@
 		p.revision, p.identity, p.age = f.configAt, f.configuration.Version, now.Sub(f.configAsOf)
 		content, err = encodeConfiguration(f.configuration)
 	}
-	f.mu.Unlock()
+	f.unlock()
 	if err != nil || content == nil {
 		return
 	}
@@ -327,7 +327,7 @@
 // collect takes a part of a document, and the document with its last part.
 func (f *Follower) collect(p *part) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	content := f.incoming[p.document].add(p)
 	if content == nil {
 		return
--- a/internal/direct/follower/follower.go
+++ b/internal/direct/follower/follower.go
@@ -101,6 +101,7 @@
 	listingReads  chan struct{} // asks for a read of the list at once
 	configReads   chan struct{}
 	calls         calls
+	ages          ages
 	mu            sync.Mutex
 	servers       *lister.Lister
 	configuration *directory.Configuration
@@ -117,7 +118,8 @@
 // New returns a Follower.
 func New(c Config) *Follower {
 	return &Follower{
-		c: c, zoneRank: pacer.RankZone(c.AvailabilityZone, c.Zones), servers: lister.New(),
+		ages: ages{started: time.Now()},
+		c:    c, zoneRank: pacer.RankZone(c.AvailabilityZone, c.Zones), servers: lister.New(),
 		listingPace: pacer.Pacer{Bound: c.Bounds.Leaving}, configPace: pacer.Pacer{Bound: c.Bounds.Configuration},
 		listingReads: make(chan struct{}, 1), configReads: make(chan struct{}, 1),
 	}
@@ -136,6 +138,7 @@
 	group.Go(func() error { f.watchConfiguration(ctx); return nil })
 	group.Go(func() error { f.checkConfiguration(ctx); return nil })
 	group.Go(func() error { f.readListing(ctx); return nil })
+	group.Go(func() error { f.watchAges(ctx); return nil })
 	return group.Wait()
 }
 
--- a/internal/direct/follower/listing.go
+++ b/internal/direct/follower/listing.go
@@ -12,22 +12,29 @@
 // readListing reads the list of backend servers, and with it the configuration, whenever it is due or asked for.
 func (f *Follower) readListing(ctx context.Context) {
 	backoff := f.newBackoff()
+	self := reader{document: listingDocument}
+	var last time.Time
 	asked := f.join(ctx, listingDocument, f.servers.Known)
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		known := f.servers.Known()
 		due := f.listingPace.Due(f.servers.AsOf(), f.rank())
-		f.mu.Unlock()
+		f.unlock()
 		if !known {
 			f.ask(listingDocument)
 		} else if wait := time.Until(due); wait > 0 && !asked {
+			if time.Since(last) > 2*f.c.Bounds.Leaving { // peers have told of two reads meanwhile
+				self.set(f, false)
+			}
 			asked = sleep(ctx, wait, f.listingReads)
 			continue
 		}
 		f.mu.Lock()
 		read := f.configRead
-		f.mu.Unlock()
+		f.unlock()
 		started := time.Now()
+		last = started
+		self.set(f, true)
 		snapshot, err := f.c.Source.Read(ctx, read)
 		f.called(callListing, err)
 		if err != nil {
@@ -47,7 +54,7 @@
 			f.configAt = max(f.configAt, snapshot.Listing.Revision)
 			changed = f.adopt(snapshot.Configuration, started)
 		}
-		f.mu.Unlock()
+		f.unlock()
 		if outcome != lister.Outdated || changed {
 			f.announce(steps)
 		}
--- a/internal/direct/loader/loader.go
+++ b/internal/direct/loader/loader.go
@@ -21,7 +21,11 @@
 	// defaultBudget keeps the lines of a busy daemon under 0.1% of a core.
 	defaultBudget = 20
 	maxBudget     = 100_000
-	maxBound      = time.Hour
+	// defaultBytes is the size of defaultBudget lines; a line takes up to 450 bytes.
+	defaultBytes = 9000
+	minBytes     = 500
+	maxBytes     = 100_000_000
+	maxBound     = time.Hour
 )
 
 // Settings are the process settings.
@@ -52,8 +56,8 @@
 // Log selects which log lines are written and how.
 type Log struct {
 	configurer.Log
-	// Budget is the number of lines a second for each outcome of a common decision; further ones are joined into one line.
-	Budget int
+	// Budget and Bytes are the number and the size of lines a second of each kind; further ones are joined into one line.
+	Budget, Bytes int
 }
 
 // Load reads the settings file.
@@ -135,10 +139,13 @@
 }
 
 func readLog(t *inspector.Table) Log {
-	l := Log{Log: configurer.ReadLog(t), Budget: defaultBudget}
+	l := Log{Log: configurer.ReadLog(t), Budget: defaultBudget, Bytes: defaultBytes}
 	if budget, ok := t.Integer("budget", 1, maxBudget); ok {
 		l.Budget = int(budget)
 	}
+	if size, ok := t.Integer("bytes", minBytes, maxBytes); ok {
+		l.Bytes = int(size)
+	}
 	t.Close()
 	return l
 }
--- a/internal/direct/loader/loader_test.go
+++ b/internal/direct/loader/loader_test.go
@@ -47,6 +47,8 @@
 		{`"10.2.0.40:8166"`, `"seed"`}:                  "peer.seeds",
 		{`name = `, `nam = `}:                           "name",
 		{`# level = "info"`, `level = "loud"`}:          "log.level",
+		{`# budget = 20`, `budget = 0`}:                 "log.budget",
+		{`# bytes = 9000`, `bytes = "9 kB"`}:            "log.bytes",
 		{`availability-zone = "souillac"`, `# no zone`}: "availability-zone",
 	} {
 		g := NewWithT(t)
--- a/internal/direct/recorder/recorder_test.go
+++ b/internal/direct/recorder/recorder_test.go
@@ -58,7 +58,7 @@
 	again := b
 	again.Incarnation = 5
 	for i, list := range [][]directory.BackendServer{{}, {b}, {leaving}, {}, {b}, {again}} {
-		r.Listing(&directory.Listing{Revision: uint64(i + 1), Servers: list})
+		r.Listing(start, &directory.Listing{Revision: uint64(i + 1), Servers: list})
 	}
 	var changes []string
 	for _, l := range lines.FilterMessage(recorder.MessageServer).All() {
@@ -71,7 +71,7 @@
 	changed := route
 	changed.Shares = []directory.Share{{Service: "b", Weight: 1}}
 	for i, routes := range [][]directory.Route{{route}, {route, other}, {changed}} {
-		r.Configuration(&directory.Configuration{Version: uint64(i + 1), Routes: routes})
+		r.Configuration(start, &directory.Configuration{Version: uint64(i + 1), Routes: routes})
 	}
 	changes = nil
 	for _, l := range lines.FilterMessage(recorder.MessageRoute).All() {
@@ -80,6 +80,69 @@
 	g.Expect(changes).To(ConsistOf("added", "changed", "gone"))
 }
 
+// TestBeliefBudget guards against a daemon that writes a line for each route of a large configuration while packets wait:
+// benammar-lb trouble-1, 420 routes at once, 36 requests lost at slow VMs.
+func TestBeliefBudget(t *testing.T) {
+	g := NewWithT(t)
+	core, lines := observer.New(zap.InfoLevel)
+	r := recorder.New(recorder.Config{Logger: zap.New(core), Budget: 20})
+	routes := make([]directory.Route, 421)
+	for i := range routes {
+		routes[i] = directory.Route{
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443), Shares: []directory.Share{{Service: "a", Weight: 1}},
+		}
+	}
+	r.Configuration(start, &directory.Configuration{Version: 1, Routes: routes[:1]})
+	r.Configuration(start, &directory.Configuration{Version: 2, Routes: routes})
+	r.Listing(start, &directory.Listing{Revision: 1})
+	servers := make([]directory.BackendServer, 100)
+	for i := range servers {
+		servers[i] = directory.BackendServer{ID: directory.ServerID(i + 1)}
+	}
+	r.Listing(start, &directory.Listing{Revision: 2, Servers: servers})
+	r.Flush(start.Add(time.Second))
+	g.Expect(lines.FilterMessage(recorder.MessageRoute).Len()).To(Equal(20))
+	g.Expect(lines.FilterMessage(recorder.MessageServer).Len()).To(Equal(20))
+	joined := map[any]any{}
+	for _, l := range lines.FilterMessage(recorder.MessageJoined).All() {
+		joined[l.ContextMap()["of"]] = l.ContextMap()["count"]
+	}
+	g.Expect(joined).To(Equal(map[any]any{recorder.MessageRoute: int64(400), recorder.MessageServer: int64(80)}))
+}
+
+// sized counts the bytes of lines.
+type sized struct{ bytes int }
+
+func (s *sized) Write(b []byte) (int, error) { s.bytes += len(b); return len(b), nil }
+func (s *sized) Sync() error                 { return nil }
+
+// TestBytes guards against lines that exceed the budget of bytes, and against decisions whose line does not tell how old the
+// beliefs were that decided.
+func TestBytes(t *testing.T) {
+	g := NewWithT(t)
+	var out sized
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), &out, zap.InfoLevel)
+	seen, lines := observer.New(zap.InfoLevel)
+	r := recorder.New(recorder.Config{Logger: zap.New(zapcore.NewTee(core, seen)), Budget: 1000, Bytes: 4000})
+	r.OnAges(func() recorder.Ages {
+		return recorder.Ages{Configuration: 3600 * time.Second, Listing: 1234567 * time.Microsecond}
+	})
+	r.Listing(start, &directory.Listing{Revision: 1 << 40})
+	longest := packet(65535)
+	longest.Source = netip.MustParseAddrPort("255.255.255.255:65535")
+	longest.Tag, longest.Sequence = 1<<32-1, 1<<32-1
+	out.bytes = 0
+	for range 1000 {
+		r.Decision(start, longest, &steerer.Decision{
+			Action: steerer.Forward, Cause: steerer.Placed, Server: 1<<63 + 1, Choice: steerer.Choice{Load: 16777216.123, Candidates: 29000, Avoided: 29000},
+		})
+	}
+	g.Expect(out.bytes).To(And(BeNumerically(">", 2000), BeNumerically("<=", 4000)))
+	line := lines.FilterMessage(recorder.MessageFlow).All()[0].ContextMap()
+	g.Expect(line).To(And(HaveKeyWithValue("listing-age", 1234567*time.Microsecond), HaveKeyWithValue("configuration-age", time.Hour),
+		HaveKeyWithValue("candidates", int64(29000))))
+}
+
 // discard encodes lines and drops them.
 type discard struct{}
 
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -80,7 +80,7 @@
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(c, c.Settings, c.Layout, entry),
-		fx.Provide(func() follower.Source { return c.Source }, newRandom, newSpooler, newLogger, newMetrics, newTransporter, newPeers, newFollower, newResponder, newReloader),
+		fx.Provide(func() follower.Source { return c.Source }, newRandom, newSpooler, newLogger, newMetrics, newRecorder, newTransporter, newPeers, newFollower, newResponder, newReloader),
 		fx.Invoke(func(in duties) { d = in }),
 	)
 	if err := app.Err(); err != nil {
@@ -119,12 +119,16 @@
 	return zap.New(zapcore.NewCore(encoder, lines, level)), level, nil
 }
 
+func newRecorder(s loader.Settings, logger *zap.Logger) *recorder.Recorder {
+	return recorder.New(recorder.Config{Logger: logger, Budget: s.Log.Budget, Bytes: s.Log.Bytes})
+}
+
 func newTransporter(
-	s loader.Settings, entry *net.UDPConn, layout editor.Layout, random *rand.Rand, logger *zap.Logger, meter metric.Meter,
+	s loader.Settings, entry *net.UDPConn, layout editor.Layout, random *rand.Rand, records *recorder.Recorder, meter metric.Meter,
 ) (*transporter.Transporter, error) {
 	t := transporter.New(transporter.Config{
 		Entry: entry, Layout: layout, Steerer: steerer.New(steerer.Config{AvailabilityZone: s.AvailabilityZone, Random: random}),
-		Recorder: recorder.New(recorder.Config{Logger: logger, Budget: s.Log.Budget}),
+		Recorder: records,
 	})
 	return t, t.Register(meter)
 }
@@ -137,7 +141,8 @@
 }
 
 func newFollower(
-	s loader.Settings, source follower.Source, t *transporter.Transporter, p *peers.Peers, logger *zap.Logger, meter metric.Meter,
+	s loader.Settings, source follower.Source, t *transporter.Transporter, p *peers.Peers, records *recorder.Recorder,
+	logger *zap.Logger, meter metric.Meter,
 ) (*follower.Follower, error) {
 	f := follower.New(follower.Config{
 		Source: source, Sink: t, Peers: p, Logger: logger, AvailabilityZone: s.AvailabilityZone, Zones: s.Zones,
@@ -145,6 +150,10 @@
 	})
 	p.Subscribe(f)
 	t.OnFindings(f.Report)
+	records.OnAges(func() recorder.Ages {
+		configuration, listing := f.Ages()
+		return recorder.Ages{Configuration: configuration, Listing: listing}
+	})
 	t.OnPause(f.ReadListing)
 	return f, f.Register(meter)
 }
--- a/internal/direct/transporter/counts.go
+++ b/internal/direct/transporter/counts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
@@ -16,9 +17,28 @@
 type counts struct {
 	causes                [32]atomic.Uint64 // by steerer.Cause
 	malformed, idleResets atomic.Uint64
+	placeTime             metric.Float64Histogram
+	copies                metric.Int64Histogram
 }
 
-func (c *counts) decided(d *steerer.Decision) { c.causes[d.Cause].Add(1) }
+// Bounds of the histograms: a decision takes microseconds unless the process waits for its processor, and callers send two
+// copies of an opening packet.
+var (
+	placeTimeBounds = []float64{0.000_01, 0.000_1, 0.001, 0.01, 0.1}
+	copiesBounds    = []float64{0, 1, 2}
+)
+
+// decided counts a decision about a packet that was read at arrived.
+func (c *counts) decided(d *steerer.Decision, arrived time.Time) {
+	c.causes[d.Cause].Add(1)
+	switch {
+	case c.placeTime == nil: // the metrics are not registered
+	case d.Cause == steerer.Placed, d.Cause == steerer.Moved:
+		c.placeTime.Record(context.Background(), time.Since(arrived).Seconds())
+	case d.Opened:
+		c.copies.Record(context.Background(), int64(d.Copies))
+	}
+}
 
 // Register makes the counters and gauges of the transporter visible.
 func (t *Transporter) Register(m metric.Meter) error {
@@ -34,6 +54,20 @@
 	if err != nil {
 		return eris.Wrap(err, "metric direct.flows")
 	}
+	placed, err := m.Int64ObservableCounter("bluebelldyke.direct.placements", metric.WithDescription("new flows, by backend server and availability zone"))
+	if err != nil {
+		return eris.Wrap(err, "metric direct.placements")
+	}
+	t.counts.placeTime, err = m.Float64Histogram("bluebelldyke.direct.place-time", metric.WithUnit("s"),
+		metric.WithDescription("time from reading an opening packet to the choice of a backend server"), metric.WithExplicitBucketBoundaries(placeTimeBounds...))
+	if err != nil {
+		return eris.Wrap(err, "metric direct.place-time")
+	}
+	t.counts.copies, err = m.Int64Histogram("bluebelldyke.direct.handshake-copies",
+		metric.WithDescription("copies of the opening packet until the flow was open"), metric.WithExplicitBucketBoundaries(copiesBounds...))
+	if err != nil {
+		return eris.Wrap(err, "metric direct.handshake-copies")
+	}
 	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		for _, cause := range steerer.Causes() {
 			o.ObserveInt64(packets, int64(t.counts.causes[cause].Load()), metric.WithAttributes(attribute.String("cause", cause.String())))
@@ -44,10 +78,12 @@
 		servers := t.c.Steerer.Servers()
 		t.mu.Unlock()
 		for _, b := range servers {
-			o.ObserveInt64(flows, int64(b.Flows), metric.WithAttributes(attribute.String("server", recorder.ServerName(b.ID)),
-				attribute.String("service", b.Service), attribute.String("availability-zone", b.AvailabilityZone)))
+			of := metric.WithAttributes(attribute.String("server", recorder.ServerName(b.ID)),
+				attribute.String("service", b.Service), attribute.String("availability-zone", b.AvailabilityZone))
+			o.ObserveInt64(flows, int64(b.Open), of)
+			o.ObserveInt64(placed, int64(b.Placed), of)
 		}
 		return nil
-	}, packets, resets, flows)
+	}, packets, resets, flows, placed)
 	return eris.Wrap(err, "metrics of the transporter")
 }
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -96,8 +96,9 @@
 func (t *Transporter) SetConfiguration(c *directory.Configuration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.c.Steerer.SetConfiguration(time.Now(), c)
-	t.c.Recorder.Configuration(c)
+	now := time.Now()
+	t.c.Steerer.SetConfiguration(now, c)
+	t.c.Recorder.Configuration(now, c)
 	t.arrived(configurationView)
 }
 
@@ -106,8 +107,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.distrust = time.Time{}
-	t.c.Steerer.SetListing(time.Now(), l)
-	t.c.Recorder.Listing(l)
+	now := time.Now()
+	t.c.Steerer.SetListing(now, l)
+	t.c.Recorder.Listing(now, l)
 	t.arrived(listingView)
 }
 
@@ -198,6 +200,7 @@
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			t.c.Steerer.Sweep(now)
+			t.c.Recorder.Flush(now)
 		}
 		t.mu.Unlock()
 		for i := range resets {
@@ -249,7 +252,7 @@
 	}
 	t.c.Recorder.Decision(now, &w.packet, &d)
 	t.mu.Unlock()
-	t.counts.decided(&d)
+	t.counts.decided(&d, now)
 	switch d.Action {
 	case steerer.Forward:
 		binary.BigEndian.PutUint64(w.buffer, uint64(d.Server))
--- a/modules/exposer/format.go
+++ b/modules/exposer/format.go
@@ -63,11 +63,10 @@
 	case metricdata.Gauge[float64]:
 		f.number(false, m.Unit)
 		addPoints(&f, data.DataPoints)
+	case metricdata.Histogram[int64]:
+		addHistograms(&f, data.DataPoints)
 	case metricdata.Histogram[float64]:
-		f.kind = "histogram"
-		for i := range data.DataPoints {
-			f.addHistogram(&data.DataPoints[i])
-		}
+		addHistograms(&f, data.DataPoints)
 	default:
 		return family{}, false
 	}
@@ -95,7 +94,14 @@
 	slices.SortFunc(f.samples, func(a, b sample) int { return cmp.Compare(a.labels, b.labels) })
 }
 
-func (f *family) addHistogram(p *metricdata.HistogramDataPoint[float64]) {
+func addHistograms[N int64 | float64](f *family, points []metricdata.HistogramDataPoint[N]) {
+	f.kind = "histogram"
+	for i := range points {
+		addHistogram(f, &points[i])
+	}
+}
+
+func addHistogram[N int64 | float64](f *family, p *metricdata.HistogramDataPoint[N]) {
 	common := labels(&p.Attributes)
 	bound := func(le string) string {
 		if common == "" {
@@ -112,7 +118,7 @@
 		}
 		f.add("_bucket", bound(number(le)), strconv.FormatUint(total, 10))
 	}
-	f.add("_sum", common, number(p.Sum))
+	f.add("_sum", common, number(float64(p.Sum)))
 	f.add("_count", common, strconv.FormatUint(p.Count, 10))
 }
 
--- a/services/explainer/explainer.go
+++ b/services/explainer/explainer.go
@@ -166,10 +166,12 @@
 // general reports whether a line concerns all flows of its daemon.
 func general(message string) bool {
 	switch message {
-	case "daemon starts", "daemon is ready", "daemon stops", "daemon ends", "configuration in force", "platform lost", "platform regained":
+	case "daemon starts", "daemon is ready", "daemon stops", "daemon leaves", "daemon ends", "configuration in force", "platform regained",
+		"reader changed", "view fresh again", "changed settings are in force", "member changed":
 		return true
 	}
-	return false
+	// These lines go on with what follows from them.
+	return strings.HasPrefix(message, "platform lost") || strings.HasPrefix(message, "view too old")
 }
 
 func (q Query) within(t, before time.Duration) bool { return !q.outside(t, before) }
--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -14,6 +14,8 @@
 	quietAfter = 4 * time.Second
 	// maxFlows bounds the flows that are watched. Flows beyond it are forwarded like any other, but not counted.
 	maxFlows = 1 << 16
+	// maxCopies bounds the count of copies of one opening packet: callers send two.
+	maxCopies = 255
 )
 
 // flowKey names a flow.
@@ -26,6 +28,7 @@
 	received uint32    // what the caller has acknowledged
 	placed   time.Time // when the newest copy of the packet with sequence was sent
 	seen     time.Time
+	copies   int // of the opening packet
 	opening  bool
 	closing  bool
 	counted  bool // among the open flows of its server
@@ -94,8 +97,9 @@
 	}
 }
 
-// observe learns from a packet of an established flow.
-func (s *Steerer) observe(now time.Time, key flowKey, p *editor.Packet, target *server) {
+// observe learns from a packet of an established flow. It reports whether the packet is the first that shows that the flow is
+// open, and how many copies of its opening packet came before.
+func (s *Steerer) observe(now time.Time, key flowKey, p *editor.Packet, target *server) (opened bool, copies int) {
 	f, ok := s.flows[key]
 	if ok && f.server != target {
 		s.forget(key)
@@ -104,7 +108,7 @@
 	if !ok {
 		s.begin(now, key, p, target)
 		if f, ok = s.flows[key]; !ok {
-			return
+			return false, 0
 		}
 		f.received = p.Acknowledged
 		if p.DataLength > 0 {
@@ -116,11 +120,12 @@
 	switch {
 	case p.Flags.RST:
 		s.forget(key)
-		return
+		return false, 0
 	case p.Flags.FIN:
 		f.closing = true
 	}
 	f.count(!f.closing)
+	opened, copies = f.opening, f.copies
 	switch {
 	case f.opening, int32(p.Acknowledged-f.received) > 0:
 		f.received = p.Acknowledged
@@ -141,6 +146,7 @@
 			f.server.sent(now)
 		}
 	}
+	return opened, copies
 }
 
 // LostFlow is an open flow whose backend server is lost: Packet is what a reset answers.
--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -129,6 +129,23 @@
 	Server      directory.ServerID
 	Incarnation int64
 	Condition   Condition
+	// Evidence is what the daemon that found it had seen. Peers are told the condition only.
+	Evidence Evidence
+}
+
+// Evidence is what speaks against a backend server.
+type Evidence struct {
+	Repeating  int           // flows that repeat packets since the last answer
+	Unanswered int           // opening packets without an answer since the last one that got one
+	For        time.Duration // since the first repetition
+}
+
+func (h *health) evidence(now time.Time) Evidence {
+	e := Evidence{Repeating: h.repeating, Unanswered: h.refused}
+	if h.repeating > 0 {
+		e.For = now.Sub(h.since)
+	}
+	return e
 }
 
 const (
@@ -154,7 +171,7 @@
 				continue
 			}
 			b.told, b.toldAt = c, now
-			list = append(list, Finding{Server: b.ID, Incarnation: b.Incarnation, Condition: c})
+			list = append(list, Finding{Server: b.ID, Incarnation: b.Incarnation, Condition: c, Evidence: b.evidence(now)})
 		}
 	}
 	return list
--- a/services/steerer/placement.go
+++ b/services/steerer/placement.go
@@ -20,17 +20,17 @@
 )
 
 // place returns the backend server for a new flow of the route, nil when there is none. It avoids except.
-func (s *Steerer) place(now time.Time, r *route, except *server) *server {
+func (s *Steerer) place(now time.Time, r *route, except *server) (*server, Choice) {
 	for range r.Shares {
 		i := r.turn()
 		if i < 0 {
-			return nil
+			break
 		}
-		if b := s.pick(now, s.services[r.Shares[i].Service], except); b != nil {
-			return b
+		if b, choice := s.pick(now, s.services[r.Shares[i].Service], except); b != nil {
+			return b, choice
 		}
 	}
-	return nil
+	return nil, Choice{}
 }
 
 // turn returns the index of the share that is next by smooth weighted round robin, which holds the weights exactly over
@@ -55,15 +55,16 @@
 
 // pick returns the backend server with the least load. Ties are broken at random, because daemons that break them alike
 // would choose the same one at once.
-func (s *Steerer) pick(now time.Time, list []*server, except *server) *server {
+func (s *Steerer) pick(now time.Time, list []*server, except *server) (*server, Choice) {
 	abroad := s.loadAbroad(now, list)
 	var best *server
-	var least float64
+	var choice Choice
 	ties := 0
 	for _, b := range list {
 		if b.Leaving || b == except || b.goneFor(now) > goneConfirmation {
 			continue
 		}
+		choice.Candidates++
 		load := float64(b.work(now)) / float64(b.Slots)
 		if b.AvailabilityZone != s.c.AvailabilityZone {
 			load += abroad
@@ -72,23 +73,25 @@
 			load += missing
 		}
 		if b.avoided(now) {
+			choice.Avoided++
 			if b.health.suspected() && b.trialDue(now) {
 				b.tried(now)
-				return b
+				choice.Load = load
+				return b, choice
 			}
 			load += suspicion
 		}
 		switch {
-		case best == nil || load < least:
-			best, least, ties = b, load, 1
-		case load == least:
+		case best == nil || load < choice.Load:
+			best, choice.Load, ties = b, load, 1
+		case load == choice.Load:
 			ties++
 			if s.c.Random.IntN(ties) == 0 {
 				best = b
 			}
 		}
 	}
-	return best
+	return best, choice
 }
 
 // work returns the open flows that this daemon has seen at the backend server, with the requests that wait there
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -74,6 +74,19 @@
 	Server  directory.ServerID
 	Address netip.AddrPort
 	Tag     uint32
+	// Choice tells what decided where a new flow goes.
+	Choice Choice
+	// Opened is set on the first packet that shows that the flow is open, and Copies is how many copies of its opening
+	// packet this daemon had seen by then.
+	Opened bool
+	Copies int
+}
+
+// Choice is what decided between backend servers.
+type Choice struct {
+	Load       float64 // of the chosen one, in open flows per slot with the prices of crossing and suspicion
+	Candidates int     // backend servers that could have been chosen
+	Avoided    int     // those among them that are suspected
 }
 
 // Config holds what a Steerer is made of.
@@ -151,14 +164,16 @@
 		return Decision{Cause: UnknownTag}
 	}
 	target := s.servers[directory.ServerID(id)]
-	s.observe(now, key, p, target)
+	opened, copies := s.observe(now, key, p, target)
 	if !p.Flags.RST {
 		if cause := target.lost(now); cause != CauseNone {
 			s.forget(key)
 			return Decision{Action: Reset, Cause: cause, Server: target.ID, Address: target.Address}
 		}
 	}
-	return Decision{Action: Forward, Cause: Established, Server: target.ID, Address: target.Address, Tag: p.Tag}
+	return Decision{
+		Action: Forward, Cause: Established, Server: target.ID, Address: target.Address, Tag: p.Tag, Opened: opened, Copies: copies,
+	}
 }
 
 // lost tells why the flows of a backend server can't go on, CauseNone when they can.
@@ -179,7 +194,7 @@
 	if known && f.opening && f.sequence == p.Sequence {
 		return s.repeat(now, key, f, r)
 	}
-	target := s.place(now, r, nil)
+	target, choice := s.place(now, r, nil)
 	if target == nil {
 		return Decision{Action: Reset, Cause: NoBackendServer}
 	}
@@ -187,31 +202,34 @@
 		s.forget(key)
 	}
 	s.begin(now, key, p, target)
-	return s.send(target, key.service, Placed)
+	target.placed++
+	return s.send(target, key.service, Placed, choice)
 }
 
 // repeat decides about a copy of an opening packet. The caller sends copies when no answer came in time; the first backend
 // server may be down or full, so the copy goes to another one. Copies that arrive close together were held up on
 // the way, and two answers at once would confuse the caller: they follow the first.
 func (s *Steerer) repeat(now time.Time, key flowKey, f *flow, r *route) Decision {
+	f.copies = min(f.copies+1, maxCopies)
 	if now.Sub(f.placed) < repeatSpacing {
-		return s.send(f.server, key.service, Copied)
+		return s.send(f.server, key.service, Copied, Choice{})
 	}
 	f.server.strike(now, f)
 	f.struck = false // the next copy may count against the next backend server
-	target := s.place(now, r, f.server)
+	target, choice := s.place(now, r, f.server)
 	if target == nil {
 		f.placed = now
-		return s.send(f.server, key.service, Copied)
+		return s.send(f.server, key.service, Copied, Choice{})
 	}
 	f.count(false)
 	f.server, f.placed, f.seen = target, now, now
 	f.count(true)
 	s.awaitOpen(now, key, f)
-	return s.send(target, key.service, Moved)
+	target.placed++
+	return s.send(target, key.service, Moved, choice)
 }
 
-func (s *Steerer) send(to *server, service netip.AddrPort, cause Cause) Decision {
+func (s *Steerer) send(to *server, service netip.AddrPort, cause Cause, choice Choice) Decision {
 	tag, _ := s.tags.Seal(uint64(to.ID), service) // all known backend servers are in the table
-	return Decision{Action: Forward, Cause: cause, Server: to.ID, Address: to.Address, Tag: tag}
+	return Decision{Action: Forward, Cause: cause, Server: to.ID, Address: to.Address, Tag: tag, Choice: choice}
 }
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -32,6 +32,7 @@
 	directory.BackendServer
 	gone   time.Time // when its entry was first missing; zero while it is listed
 	flows  int       // open flows that this daemon has seen
+	placed uint64    // new flows that this daemon has sent to it
 	purged bool      // its flows were reset since it was lost
 	health
 	reports
@@ -152,11 +153,12 @@
 	}
 }
 
-// ServerFlows is the number of open flows that this daemon has seen at a backend server.
+// ServerFlows is what this daemon has seen of the flows at a backend server.
 type ServerFlows struct {
 	ID                        directory.ServerID
 	Service, AvailabilityZone string
-	Flows                     int
+	Open                      int
+	Placed                    uint64 // new flows that this daemon has sent to it
 }
 
 // Servers returns the listed backend servers with their flows.
@@ -164,7 +166,7 @@
 	list := make([]ServerFlows, 0, len(s.servers))
 	for _, services := range s.services {
 		for _, b := range services {
-			list = append(list, ServerFlows{b.ID, b.Service, b.AvailabilityZone, b.flows})
+			list = append(list, ServerFlows{b.ID, b.Service, b.AvailabilityZone, b.flows, b.placed})
 		}
 	}
 	return list
