--- a/modules/exposer/format.go
+++ b/modules/exposer/format.go
@@ -151,7 +151,7 @@
 		if b.Len() > 0 {
 			b.WriteByte(',')
 		}
-		b.WriteString(sanitize(string(kv.Key)) + `="` + valueEscaper.Replace(kv.Value.Emit()) + `"`)
+		b.WriteString(sanitize(string(kv.Key)) + `="` + valueEscaper.Replace(kv.Value.String()) + `"`)
 	}
 	return b.String()
 }
