--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -117,15 +117,18 @@
 	t.arrived(listingView)
 }
 
-// AddFindings takes the findings of a peer.
+// AddFindings takes the findings of a peer. The list is the Transporter's from then on.
 func (t *Transporter) AddFindings(findings []steerer.Finding) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	changes := findings[:0]
 	for _, f := range findings {
-		t.c.Steerer.AddFinding(now, f)
+		if t.c.Steerer.AddFinding(now, f) {
+			changes = append(changes, f)
+		}
 	}
-	t.c.Recorder.Findings("peer", findings)
+	t.c.Recorder.Findings("peer", changes) // peers repeat findings, which are worth a line once
 }
 
 // OnStale sets what asks for a fresh list: after a pause of the process, and when a packet's tag names a backend server that
--- a/services/explainer/explainer.go
+++ b/services/explainer/explainer.go
@@ -167,7 +167,7 @@
 func general(message string) bool {
 	switch message {
 	case "daemon starts", "daemon is ready", "daemon stops", "daemon leaves", "daemon ends", "configuration in force", "platform regained",
-		"reader changed", "view fresh again", "changed settings are in force", "member changed":
+		"reader changed", "view fresh again", "changed settings are in force", "member changed", "lines joined":
 		return true
 	}
 	// These lines go on with what follows from them.
--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -177,12 +177,24 @@
 	return list
 }
 
-// AddFinding takes the finding of a peer.
-func (s *Steerer) AddFinding(now time.Time, f Finding) {
+// reported returns what peers' findings say of the backend server.
+func (r *reports) reported(now time.Time) Condition {
+	switch {
+	case now.Before(r.silent):
+		return Silent
+	case now.Before(r.suspected):
+		return Suspected
+	}
+	return Answering
+}
+
+// AddFinding takes the finding of a peer, and reports whether it changes what peers' findings say of the backend server.
+func (s *Steerer) AddFinding(now time.Time, f Finding) bool {
 	b := s.servers[f.Server]
 	if b == nil || b.Incarnation != f.Incarnation {
-		return
+		return false
 	}
+	before := b.reports.reported(now)
 	switch f.Condition {
 	case Answering:
 		b.reports.suspected, b.reports.silent = time.Time{}, time.Time{}
@@ -192,6 +204,7 @@
 	case Suspected:
 		b.reports.suspected = now.Add(findingLife)
 	}
+	return b.reports.reported(now) != before
 }
 
 // condition returns what this daemon found out by itself.
--- a/services/steerer/health_test.go
+++ b/services/steerer/health_test.go
@@ -50,7 +50,9 @@
 			p = q
 		}
 	}
-	d.AddFinding(d.now, steerer.Finding{Server: 1, Incarnation: 1, Condition: steerer.Silent})
+	silent := steerer.Finding{Server: 1, Incarnation: 1, Condition: steerer.Silent}
+	g.Expect(d.AddFinding(d.now, silent)).To(BeTrue())
+	g.Expect(d.AddFinding(d.now, silent)).To(BeFalse(), "a repetition is worth no line")
 	g.Expect(d.placedAt(1, 10)).To(BeZero())
 	g.Expect(d.Steer(d.now, p).Action).To(Equal(steerer.Forward))
 	d.wait(200 * time.Millisecond)
--- a/tests/replay/main.go
+++ b/tests/replay/main.go
@@ -87,9 +87,9 @@
 	return baseline{steerer.New(steerer.Config{AvailabilityZone: zoneName(zone), Random: random, IgnoreFlows: true})}
 }
 
-func (baseline) TakeResets(time.Time) []steerer.LostFlow  { return nil }
-func (baseline) TakeFindings(time.Time) []steerer.Finding { return nil }
-func (baseline) AddFinding(time.Time, steerer.Finding)    {}
+func (baseline) TakeResets(time.Time) []steerer.LostFlow    { return nil }
+func (baseline) TakeFindings(time.Time) []steerer.Finding   { return nil }
+func (baseline) AddFinding(time.Time, steerer.Finding) bool { return false }
 
 func draw(file string, l load, outcomes ...outcome) error {
 	p := plot.New()
--- a/tests/replay/model.go
+++ b/tests/replay/model.go
@@ -38,7 +38,7 @@
 	Sweep(now time.Time)
 	TakeResets(now time.Time) []steerer.LostFlow
 	TakeFindings(now time.Time) []steerer.Finding
-	AddFinding(now time.Time, f steerer.Finding)
+	AddFinding(now time.Time, f steerer.Finding) bool
 }
 
 // load is one case: what callers ask for and what happens.
