--- a/internal/direct/loader/loader.go
+++ b/internal/direct/loader/loader.go
@@ -33,9 +33,11 @@
 	Name             string // of the VM
 	AvailabilityZone string
 	// Zones are all availability zones of the fleet.
-	Zones       []string
-	Entry       netip.AddrPort // where the fabric sends packets of callers
-	Readiness   netip.AddrPort
+	Zones     []string
+	Entry     netip.AddrPort // where the fabric sends packets of callers
+	Readiness netip.AddrPort
+	// Metrics is where the metrics page is served beside the readiness address; the zero value means only there.
+	Metrics     netip.AddrPort
 	Peer        Peer
 	PlatformURL string
 	// Grace is the time between the signal to stop and the end of the process by force.
@@ -88,6 +90,9 @@
 	s.Zones, _ = root.Texts("availability-zones")
 	s.Entry = readBind(root.Table("entry"))
 	s.Readiness = readBind(root.Table("readiness"))
+	if root.Has("metrics") {
+		s.Metrics = readBind(root.Table("metrics"))
+	}
 	s.Peer = readPeer(root.Table("peer"))
 	s.PlatformURL = configurer.ReadPlatform(root.Table("platform")).URL
 	s.Grace = readGrace(root.Table("stop"))
--- a/internal/direct/responder/responder.go
+++ b/internal/direct/responder/responder.go
@@ -11,37 +11,71 @@
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 )
 
 // headerTimeout bounds the time for a request's header, so that silent connections do not pile up.
 const headerTimeout = 2 * time.Second
 
+// Config holds what a Responder is made of.
+type Config struct {
+	// Bind is the address of the readiness checks. It serves Page too, at /metrics.
+	Bind netip.AddrPort
+	// Metrics is a further address that serves Page only; the zero value means none.
+	Metrics netip.AddrPort
+	// Page is the metrics page; nil means none.
+	Page   http.Handler
+	Logger *zap.Logger
+}
+
 // Responder answers readiness checks.
 type Responder struct {
-	listener net.Listener
-	server   http.Server
-	ready    atomic.Bool
-	refused  atomic.Uint64
+	listeners []net.Listener // of the readiness checks, and of the metrics if they have an address
+	servers   []*http.Server // of the listener with the same index
+	ready     atomic.Bool
+	refused   atomic.Uint64
 }
 
-// New binds the address. It serves metrics, if any, at /metrics; every other path is the readiness check.
-func New(bind netip.AddrPort, metrics http.Handler, logger *zap.Logger) (*Responder, error) {
-	l, err := net.Listen("tcp4", bind.String())
-	if err != nil {
-		return nil, eris.Wrapf(err, "listen on TCP %s: end the process that uses it or change readiness.bind", bind)
-	}
-	r := &Responder{listener: l}
+// New binds the addresses. Every path of the readiness address but /metrics is the readiness check.
+func New(c Config) (*Responder, error) {
+	r := &Responder{}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", r.answer)
-	if metrics != nil {
-		mux.Handle("GET /metrics", metrics)
+	if c.Page != nil {
+		mux.Handle("GET /metrics", c.Page)
+	}
+	if err := r.listen("readiness.bind", c.Bind, mux, c.Logger); err != nil {
+		return nil, err
+	}
+	if !c.Metrics.IsValid() || c.Page == nil {
+		return r, nil
+	}
+	page := http.NewServeMux()
+	page.Handle("GET /metrics", c.Page)
+	if err := r.listen("metrics.bind", c.Metrics, page, c.Logger); err != nil {
+		_ = r.listeners[0].Close()
+		return nil, err
 	}
-	r.server = http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(logger)}
 	return r, nil
 }
 
-// Address returns the bound address.
-func (r *Responder) Address() netip.AddrPort { return r.listener.Addr().(*net.TCPAddr).AddrPort() }
+func (r *Responder) listen(key string, bind netip.AddrPort, handler http.Handler, logger *zap.Logger) error {
+	l, err := net.Listen("tcp4", bind.String())
+	if err != nil {
+		return eris.Wrapf(err, "listen on TCP %s: end the process that uses it or change %s", bind, key)
+	}
+	r.listeners = append(r.listeners, l)
+	r.servers = append(r.servers, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(logger)})
+	return nil
+}
+
+// Address returns the bound address of the readiness checks.
+func (r *Responder) Address() netip.AddrPort { return address(r.listeners[0]) }
+
+// MetricsAddress returns the bound address of the metrics page.
+func (r *Responder) MetricsAddress() netip.AddrPort { return address(r.listeners[len(r.listeners)-1]) }
+
+func address(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
 
 // SetReady sets the answer to checks.
 func (r *Responder) SetReady(ready bool) { r.ready.Store(ready) }
@@ -60,10 +94,16 @@
 
 // Run answers until ctx ends.
 func (r *Responder) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = r.server.Close() })
-	defer stop()
-	if err := r.server.Serve(r.listener); err != nil && !eris.Is(err, http.ErrServerClosed) {
-		return eris.Wrap(err, "answer readiness checks")
+	group, ctx := errgroup.WithContext(ctx)
+	for i, server := range r.servers {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		group.Go(func() error {
+			if err := server.Serve(r.listeners[i]); err != nil && !eris.Is(err, http.ErrServerClosed) {
+				return eris.Wrap(err, "answer readiness checks and metrics")
+			}
+			return nil
+		})
 	}
-	return nil
+	return group.Wait()
 }
--- a/internal/direct/responder/responder_test.go
+++ b/internal/direct/responder/responder_test.go
@@ -14,22 +14,28 @@
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/responder"
 )
 
-// TestReadiness guards against a daemon in rotation that is not ready, and against refusals that are not counted: a
-// stopping daemon ends after the fabric has seen two.
+// TestReadiness guards against a daemon in rotation that is not ready, against refusals that are not counted: a stopping daemon
+// ends after the fabric has seen two, and against a metrics address that answers readiness checks.
 func TestReadiness(t *testing.T) {
 	g := NewWithT(t)
-	r, err := responder.New(netip.MustParseAddrPort("127.0.0.1:0"), nil, zap.NewNop())
+	free := netip.MustParseAddrPort("127.0.0.1:0")
+	page := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+	r, err := responder.New(responder.Config{Bind: free, Metrics: free, Page: page, Logger: zap.NewNop()})
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(t.Context())
 	var group errgroup.Group
 	group.Go(func() error { return r.Run(ctx) })
-	check := func() int {
+	get := func(address netip.AddrPort, path string) int {
 		client := http.Client{Timeout: 5 * time.Second}
-		response, err := client.Get("http://" + r.Address().String() + "/readiness")
+		response, err := client.Get("http://" + address.String() + path)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(response.Body.Close()).To(Succeed())
 		return response.StatusCode
 	}
+	check := func() int { return get(r.Address(), "/readiness") }
+	g.Expect(get(r.Address(), "/metrics")).To(Equal(http.StatusTeapot))
+	g.Expect(get(r.MetricsAddress(), "/metrics")).To(Equal(http.StatusTeapot))
+	g.Expect(get(r.MetricsAddress(), "/readiness")).To(Equal(http.StatusNotFound))
 	g.Expect(check()).To(Equal(http.StatusServiceUnavailable))
 	r.SetReady(true)
 	g.Expect(check()).To(Equal(http.StatusOK))
@@ -37,8 +43,10 @@
 	g.Expect(check()).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(r.Refused()).To(Equal(uint64(2)))
 
-	_, err = responder.New(r.Address(), nil, zap.NewNop())
+	_, err = responder.New(responder.Config{Bind: r.Address(), Logger: zap.NewNop()})
 	g.Expect(err).To(MatchError(ContainSubstring("change readiness.bind")))
+	_, err = responder.New(responder.Config{Bind: free, Metrics: r.MetricsAddress(), Page: page, Logger: zap.NewNop()})
+	g.Expect(err).To(MatchError(ContainSubstring("change metrics.bind")))
 	cancel()
 	g.Expect(group.Wait()).To(Succeed())
 }
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -172,7 +172,7 @@
 }
 
 func newResponder(s loader.Settings, page http.Handler, logger *zap.Logger) (*responder.Responder, error) {
-	return responder.New(s.Readiness, page, logger)
+	return responder.New(responder.Config{Bind: s.Readiness, Metrics: s.Metrics, Page: page, Logger: logger})
 }
 
 // run runs the duties. When ctx ends they go on until the fabric has taken the daemon out of rotation.
