soak: disturb the links to daemons and to the store

Cause: the soak stopped, killed and paused processes and made the store fail for all, but every link was perfect.

No daemon has two links disturbed at a time: one that hears neither the store nor a peer can't know what has left. Daemons get peer.advertise, the address at which others reach them. The seeds that failed once run with the faults that they drew then.

--- a/internal/direct/loader/loader.go
+++ b/internal/direct/loader/loader.go
@@ -50,9 +50,11 @@
 
 // Peer is the side that faces the other daemons.
 type Peer struct {
-	Bind  netip.AddrPort
-	Key   [configurer.KeySize]byte
-	Seeds []netip.AddrPort
+	Bind netip.AddrPort
+	// Advertise is the address at which other daemons reach this one; that of Bind unless the settings name another.
+	Advertise netip.AddrPort
+	Key       [configurer.KeySize]byte
+	Seeds     []netip.AddrPort
 }
 
 // Log selects which log lines are written and how.
@@ -114,6 +116,10 @@
 	t.Require("write the fleet key, the same 64 hexadecimal digits on every daemon", "key")
 	var p Peer
 	p.Bind, _ = t.AddrPort("bind")
+	p.Advertise = p.Bind
+	if t.Has("advertise") {
+		p.Advertise, _ = t.AddrPort("advertise")
+	}
 	p.Key = configurer.ReadKey(t)
 	seeds, _ := t.Texts("seeds")
 	for i, text := range seeds {
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -135,7 +135,7 @@
 
 func newPeers(s loader.Settings, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
 	return peers.New(peers.Config{
-		Bind: s.Peer.Bind, Advertise: s.Peer.Bind, AvailabilityZone: s.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli()),
+		Bind: s.Peer.Bind, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli()),
 		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Logger: logger, Meter: meter, Random: newRandom(),
 	})
 }
--- a/tests/harness/deployment/deployment.go
+++ b/tests/harness/deployment/deployment.go
@@ -23,6 +23,7 @@
 	"github.com/bluebelldyke/bluebelldyke/platform/platformtest"
 	"github.com/bluebelldyke/bluebelldyke/tests/harness"
 	"github.com/bluebelldyke/bluebelldyke/tests/standins/direct"
+	"github.com/bluebelldyke/bluebelldyke/tests/standins/linker"
 )
 
 // Bounds that the daemons are given.
@@ -45,7 +46,6 @@
 	portPeer
 	portStore
 	portBackend
-	portMetrics
 )
 
 // Service addresses of the two services.
@@ -70,6 +70,13 @@
 	Zone   string
 	target direct.Target
 	file   string
+	Links
+}
+
+// Links are the ways to a daemon and its way to the store.
+type Links struct {
+	Entry, Peers *linker.Datagrams
+	Store        *linker.Streams
 }
 
 // Backend is a backend server with its heartbeats.
@@ -115,8 +122,12 @@
 	kindBackend = 12
 	kindCaller  = 13
 	kindStore   = 14
+	kindLink    = 15
 )
 
+// ZoneOf returns the availability zone of a daemon's address, as its number.
+func ZoneOf(daemon netip.Addr) int { return int(daemon.As4()[2]) }
+
 func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
 
 // Start starts everything and waits until all daemons are in rotation.
@@ -222,8 +233,11 @@
 
 func (d *Deployment) addDaemon(zone, k int, store netip.AddrPort) error {
 	x := &Daemon{Name: fmt.Sprintf("daemon-%d-%d", zone, k), Zone: zoneName(zone), target: direct.Target{
-		Entry: d.at(kindDaemon, zone, k, portEntry), Readiness: d.at(kindDaemon, zone, k, portReadiness),
+		Entry: d.at(kindLink, zone, k, portEntry), Readiness: d.at(kindDaemon, zone, k, portReadiness),
 	}}
+	if err := d.link(x, zone, k, store); err != nil {
+		return err
+	}
 	var zones []string
 	for z := range d.c.Zones {
 		zones = append(zones, fmt.Sprintf("%q", zoneName(z)))
@@ -238,6 +252,7 @@
 bind = %q
 [peer]
 bind = %q
+advertise = %q
 seeds = [%q]
 key = "c0ffee00c0ffee00c0ffee00c0ffee00c0ffee00c0ffee00c0ffee00c0ffee00"
 [platform]
@@ -247,8 +262,8 @@
 [bounds]
 leaving = %q
 configuration = %q
-`, x.Name, x.Zone, strings.Join(zones, ", "), x.target.Entry, x.target.Readiness, d.at(kindDaemon, zone, k, portPeer),
-		d.at(kindDaemon, 0, 0, portPeer), store, Grace, LeavingBound, ConfigurationBound)
+`, x.Name, x.Zone, strings.Join(zones, ", "), d.at(kindDaemon, zone, k, portEntry), x.target.Readiness,
+		d.at(kindDaemon, zone, k, portPeer), d.at(kindLink, zone, k, portPeer), d.at(kindLink, 0, 0, portPeer), d.at(kindLink, zone, k, portStore), Grace, LeavingBound, ConfigurationBound)
 	if err := os.WriteFile(x.file, []byte(content), 0o600); err != nil {
 		return eris.Wrap(err, "settings of a daemon")
 	}
@@ -256,6 +271,25 @@
 	return d.StartDaemon(x)
 }
 
+// link puts links before a daemon's sockets and before the store.
+func (d *Deployment) link(x *Daemon, zone, k int, store netip.AddrPort) error {
+	seed := uint64(zone<<8 + k)
+	var err error
+	if x.Entry, err = linker.NewDatagrams(d.at(kindLink, zone, k, portEntry), d.at(kindDaemon, zone, k, portEntry), seed); err != nil {
+		return err
+	}
+	if x.Peers, err = linker.NewDatagrams(d.at(kindLink, zone, k, portPeer), d.at(kindDaemon, zone, k, portPeer), seed); err != nil {
+		return err
+	}
+	if x.Store, err = linker.NewStreams(d.at(kindLink, zone, k, portStore), store); err != nil {
+		return err
+	}
+	d.group.Go(func() error { return x.Entry.Run(d.ctx) })
+	d.group.Go(func() error { return x.Peers.Run(d.ctx) })
+	d.group.Go(func() error { return x.Store.Run(d.ctx) })
+	return nil
+}
+
 // StartDaemon starts the process of a daemon, also again after it has ended.
 func (d *Deployment) StartDaemon(x *Daemon) error {
 	p, err := d.starter.Start(d.dir, x.Name, filepath.Join(d.c.Binaries, "bluebelldyke"), "direct", "--config", x.file)
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -46,7 +46,16 @@
 	result *result
 	later  []action // ends of faults
 	down   map[*deployment.Daemon]bool
-	err    error
+	// disturbed are the daemons with a fault on a link.
+	disturbed map[*deployment.Daemon]bool
+	links     bool // disturb links too
+	err       error
+}
+
+// step is a fault that can be drawn.
+type step struct {
+	name string
+	do   func()
 }
 
 type action struct {
@@ -55,12 +64,15 @@
 }
 
 // soak runs one seed.
-func soak(o options, seed uint64) (*result, error) {
+func soak(o options, seed uint64, links bool) (*result, error) {
 	d, err := deployment.Start(deployment.Config{Binaries: o.binaries, Zones: zones, Daemons: perZone, Backends: backends, Flows: flows})
 	if err != nil {
 		return nil, err
 	}
-	m := &mixer{Deployment: d, random: rand.New(rand.NewPCG(seed, 11)), result: &result{seed: seed}, down: map[*deployment.Daemon]bool{}}
+	m := &mixer{
+		Deployment: d, random: rand.New(rand.NewPCG(seed, 11)), result: &result{seed: seed}, down: map[*deployment.Daemon]bool{},
+		disturbed: map[*deployment.Daemon]bool{}, links: links,
+	}
 	m.inject(o.length)
 	m.recover()
 	d.Stop()
@@ -117,13 +129,13 @@
 }
 
 func (m *mixer) step() {
-	steps := []struct {
-		name string
-		do   func()
-	}{
+	steps := []step{
 		{"stop", m.stop}, {"kill", m.kill}, {"kill-all", m.killAll}, {"pause", m.pause}, {"drain", m.drain}, {"crash", m.crash},
 		{"store", m.store}, {"compact", m.compact}, {"configure", m.configure}, {"hangup", m.hangup},
 	}
+	if m.links {
+		steps = append(steps, m.linkSteps()...)
+	}
 	s := steps[m.random.IntN(len(steps))]
 	m.result.faults = append(m.result.faults, s.name)
 	s.do()
--- a/tests/soak/main.go
+++ b/tests/soak/main.go
@@ -1,6 +1,7 @@
 // Command soak runs direct-return daemons as real processes on loopback and injects faults from outside, drawn from a
 // seed: daemons are stopped, killed and paused, backend servers drain and crash, the store fails in each way, loses its history
-// and goes silent, and the configuration changes. Callers and backend servers check the promises meanwhile. Faults come in
+// and goes silent, the configuration changes, and links to daemons and to the store lose, double, delay, reset, cut one way and
+// silence what they carry. Callers and backend servers check the promises meanwhile. Faults come in
 // series and overlap. The report is a Markdown page with a plot.
 package main
 
@@ -38,17 +39,14 @@
 	length           time.Duration
 }
 
-// seeds returns the seeds to run.
-func (o *options) seeds() []uint64 {
-	var list []uint64
+// cases returns the seeds to run, and whether links are disturbed.
+func (o *options) cases() []regression {
 	if o.regressions {
-		for _, r := range regressions {
-			list = append(list, r.seed)
-		}
-		return list
+		return regressions
 	}
-	for i := range o.runs {
-		list = append(list, o.seed+uint64(i))
+	list := make([]regression, o.runs)
+	for i := range list {
+		list[i] = regression{seed: o.seed + uint64(i), links: true}
 	}
 	return list
 }
@@ -59,8 +57,8 @@
 	}
 	var results []*result
 	violated := 0
-	for _, seed := range o.seeds() {
-		r, err := soak(o, seed)
+	for _, c := range o.cases() {
+		r, err := soak(o, c.seed, c.links)
 		if err != nil {
 			return err
 		}
