--- a/tests/harness/deployment/deployment.go
+++ b/tests/harness/deployment/deployment.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,7 +21,6 @@
 	"github.com/bluebelldyke/bluebelldyke/platform/platformtest"
 	"github.com/bluebelldyke/bluebelldyke/tests/harness"
 	"github.com/bluebelldyke/bluebelldyke/tests/standins/direct"
-	"github.com/bluebelldyke/bluebelldyke/tests/standins/linker"
 )
 
 // Bounds that the daemons are given.
@@ -63,30 +60,6 @@
 	Flows    int // of each service
 }
 
-// Daemon is one daemon process.
-type Daemon struct {
-	*harness.Process
-	Name   string
-	Zone   string
-	target direct.Target
-	file   string
-	Links
-}
-
-// Links are the ways to a daemon and its way to the store.
-type Links struct {
-	Entry, Peers *linker.Datagrams
-	Store        *linker.Streams
-}
-
-// Backend is a backend server with its heartbeats.
-type Backend struct {
-	*direct.Backend
-	stop   context.CancelFunc
-	server directory.BackendServer
-	silent atomic.Bool
-}
-
 // Deployment is the running system.
 type Deployment struct {
 	Store      *platformtest.Store
@@ -231,201 +204,6 @@
 	return nil
 }
 
-func (d *Deployment) addDaemon(zone, k int, store netip.AddrPort) error {
-	x := &Daemon{Name: fmt.Sprintf("daemon-%d-%d", zone, k), Zone: zoneName(zone), target: direct.Target{
-		Entry: d.at(kindLink, zone, k, portEntry), Readiness: d.at(kindDaemon, zone, k, portReadiness),
-	}}
-	if err := d.link(x, zone, k, store); err != nil {
-		return err
-	}
-	var zones []string
-	for z := range d.c.Zones {
-		zones = append(zones, fmt.Sprintf("%q", zoneName(z)))
-	}
-	x.file = filepath.Join(d.dir, x.Name+".toml")
-	content := fmt.Sprintf(`name = %q
-availability-zone = %q
-availability-zones = [%s]
-[entry]
-bind = %q
-[readiness]
-bind = %q
-[peer]
-bind = %q
-advertise = %q
-seeds = [%q]
-key = "c0ffee00c0ffee00c0ffee00c0ffee00c0ffee00c0ffee00c0ffee00c0ffee00"
-[platform]
-url = "http://%s"
-[stop]
-grace = %q
-[bounds]
-leaving = %q
-configuration = %q
-`, x.Name, x.Zone, strings.Join(zones, ", "), d.at(kindDaemon, zone, k, portEntry), x.target.Readiness,
-		d.at(kindDaemon, zone, k, portPeer), d.at(kindLink, zone, k, portPeer), d.at(kindLink, 0, 0, portPeer), d.at(kindLink, zone, k, portStore), Grace, LeavingBound, ConfigurationBound)
-	if err := os.WriteFile(x.file, []byte(content), 0o600); err != nil {
-		return eris.Wrap(err, "settings of a daemon")
-	}
-	d.Daemons = append(d.Daemons, x)
-	return d.StartDaemon(x)
-}
-
-// link puts links before a daemon's sockets and before the store.
-func (d *Deployment) link(x *Daemon, zone, k int, store netip.AddrPort) error {
-	seed := uint64(zone<<8 + k)
-	var err error
-	if x.Entry, err = linker.NewDatagrams(d.at(kindLink, zone, k, portEntry), d.at(kindDaemon, zone, k, portEntry), seed); err != nil {
-		return err
-	}
-	if x.Peers, err = linker.NewDatagrams(d.at(kindLink, zone, k, portPeer), d.at(kindDaemon, zone, k, portPeer), seed); err != nil {
-		return err
-	}
-	if x.Store, err = linker.NewStreams(d.at(kindLink, zone, k, portStore), store); err != nil {
-		return err
-	}
-	d.group.Go(func() error { return x.Entry.Run(d.ctx) })
-	d.group.Go(func() error { return x.Peers.Run(d.ctx) })
-	d.group.Go(func() error { return x.Store.Run(d.ctx) })
-	return nil
-}
-
-// StartDaemon starts the process of a daemon, also again after it has ended.
-func (d *Deployment) StartDaemon(x *Daemon) error {
-	p, err := d.starter.Start(d.dir, x.Name, filepath.Join(d.c.Binaries, "bluebelldyke"), "direct", "--config", x.file)
-	x.Process = p
-	return err
-}
-
-// AddBackend starts a backend server in an availability zone.
-func (d *Deployment) AddBackend(service string, zone int) (*Backend, error) {
-	d.mu.Lock()
-	d.next++
-	id := d.next
-	d.mu.Unlock()
-	address := map[string]netip.AddrPort{"ovenwatch": Ovenwatch, "recipecard": Recipecard}[service]
-	b := &Backend{server: directory.BackendServer{
-		ID: directory.ServerID(id*7919 + 1), Service: service, Address: d.at(kindBackend, zone, id, portBackend),
-		AvailabilityZone: zoneName(zone), Slots: 2, Incarnation: time.Now().UnixMilli(),
-	}}
-	var err error
-	b.Backend, err = direct.NewBackend(direct.BackendConfig{
-		Server: b.server, Layout: platform.PacketLayout(), CallerPort: uint16(d.base + portEntry), Work: work, Violations: d.Violations,
-		Allowed: map[netip.AddrPort]bool{address: true},
-	})
-	if err != nil {
-		return nil, err
-	}
-	ctx, stop := context.WithCancel(d.ctx)
-	b.stop = stop
-	d.group.Go(func() error { return b.Run(ctx) })
-	d.Store.SetServer(&b.server, 0)
-	d.group.Go(func() error { return d.beat(ctx, b) })
-	d.mu.Lock()
-	d.backends = append(d.backends, b)
-	d.mu.Unlock()
-	return b, nil
-}
-
-func (d *Deployment) beat(ctx context.Context, b *Backend) error {
-	ticker := time.NewTicker(heartbeat)
-	defer ticker.Stop()
-	for sequence := 1; ; sequence++ {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			if !b.silent.Load() {
-				d.mu.Lock()
-				server := b.server
-				d.mu.Unlock()
-				d.Store.SetServer(&server, sequence)
-			}
-		}
-	}
-}
-
-// Backends returns the backend servers of a service that were started and not ended.
-func (d *Deployment) Backends(service string) []*Backend {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var list []*Backend
-	for _, b := range d.backends {
-		if b.server.Service == service {
-			list = append(list, b)
-		}
-	}
-	return list
-}
-
-// Doubled returns the requests that ran more than once, anywhere. Callers of this deployment send each request once.
-func (d *Deployment) Doubled() map[uint64]int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	runs, doubled := map[uint64]int{}, map[uint64]int{}
-	for _, list := range [][]*Backend{d.backends, d.ended} {
-		for _, b := range list {
-			if b.server.Service != "ovenwatch" {
-				continue // each service's callers number their requests
-			}
-			for id, n := range b.Runs() {
-				if runs[id] += n; runs[id] > 1 {
-					doubled[id] = runs[id]
-				}
-			}
-		}
-	}
-	return doubled
-}
-
-// Drain lets a backend server leave: it keeps its flows and must get no new ones after the bound.
-func (d *Deployment) Drain(b *Backend) {
-	d.mu.Lock()
-	b.server.Leaving = true
-	server := b.server
-	b.Leave(d.leavingBound())
-	d.mu.Unlock()
-	d.Store.SetServer(&server, 0)
-}
-
-// FailStore makes the store fail, or heals it. While it turns daemons away they can't know of backend servers that leave, so
-// that the bound of those begins anew when it answers again (soak seeds 231 and 242).
-func (d *Deployment) FailStore(f platformtest.Fault) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.Store.SetFault(f)
-	d.failing = f != platformtest.Healthy
-	for _, b := range d.backends {
-		if b.server.Leaving {
-			b.Leave(d.leavingBound())
-		}
-	}
-}
-
-// leavingBound returns the time from now on in which a leaving backend server may get new flows. The caller holds mu.
-func (d *Deployment) leavingBound() time.Duration {
-	if d.failing {
-		return unbounded
-	}
-	return LeavingBound
-}
-
-// Crash ends a backend server: it is silent, and its entry lapses after three heartbeats.
-func (d *Deployment) Crash(b *Backend) {
-	b.silent.Store(true)
-	b.stop()
-	d.mu.Lock()
-	for i, x := range d.backends {
-		if x == b {
-			d.backends = append(d.backends[:i], d.backends[i+1:]...)
-			d.ended = append(d.ended, b)
-			break
-		}
-	}
-	d.mu.Unlock()
-	time.AfterFunc(3*heartbeat, func() { d.Store.RemoveServer(b.server.ID) })
-}
-
 // Outcomes returns the counts of all callers.
 func (d *Deployment) Outcomes() direct.Counts {
 	var sum direct.Counts
@@ -443,9 +221,6 @@
 // Logs returns the directory with the daemons' logs.
 func (d *Deployment) Logs() string { return d.dir }
 
-// SettingsFile returns the settings file of a daemon.
-func (x *Daemon) SettingsFile() string { return x.file }
-
 // Stop ends the processes and stand-ins.
 func (d *Deployment) Stop() {
 	for _, x := range d.Daemons {
