responder: a taken metrics port keeps no daemon from forwarding

Cause: with the further metrics address a daemon would not start when another process has its port, although the page is at the readiness address too.

Change: one warning with the key to change, and the daemon goes on.

--- a/internal/direct/responder/responder.go
+++ b/internal/direct/responder/responder.go
@@ -53,8 +53,8 @@
 	page := http.NewServeMux()
 	page.Handle("GET /metrics", c.Page)
 	if err := r.listen("metrics.bind", c.Metrics, page, c.Logger); err != nil {
-		_ = r.listeners[0].Close()
-		return nil, err
+		// The page is at the readiness address too, and forwarding is worth more than a second one.
+		c.Logger.Warn("metrics address not served", zap.Error(err))
 	}
 	return r, nil
 }
@@ -72,7 +72,7 @@
 // Address returns the bound address of the readiness checks.
 func (r *Responder) Address() netip.AddrPort { return address(r.listeners[0]) }
 
-// MetricsAddress returns the bound address of the metrics page.
+// MetricsAddress returns the bound address of the metrics page: that of the readiness checks if it has none of its own.
 func (r *Responder) MetricsAddress() netip.AddrPort { return address(r.listeners[len(r.listeners)-1]) }
 
 func address(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
