recorder: the age of a moved or reset flow; packets by outcome and cause

Cause: lines on a reset did not tell for how long the daemon had seen the flow, and the packets metric named the cause without the outcome, so that resets by cause could not be told from drops for want of a route.

Change: Decision.Age, "flow-age" in lines; the metric has an attribute outcome, and pairs that never occurred are left out. TestSilent demands the age.

--- a/internal/direct/recorder/recorder.go
+++ b/internal/direct/recorder/recorder.go
@@ -26,7 +26,7 @@
 
 // The most bytes of lines beside the names in them.
 const (
-	flowLine   = 420
+	flowLine   = 440
 	beliefLine = 220
 )
 
@@ -80,7 +80,7 @@
 	fields := [...]zap.Field{
 		zap.String("flow", flowName(p)), zap.Stringer("outcome", d.Action), zap.Stringer("cause", d.Cause),
 		zap.String("server", ServerName(d.Server)), zap.Uint32("tag", p.Tag), zap.Uint32("sequence", p.Sequence),
-		zap.Bool("opening", p.Flags.SYN), zap.Float64("load", d.Choice.Load), zap.Int("candidates", d.Choice.Candidates),
+		zap.Bool("opening", p.Flags.SYN), zap.Duration("flow-age", d.Age), zap.Float64("load", d.Choice.Load), zap.Int("candidates", d.Choice.Candidates),
 		zap.Int("avoided", d.Choice.Avoided), {}, {}, {}, {},
 	}
 	r.basis(fields[len(fields)-basisFields:])
@@ -120,7 +120,7 @@
 func (r *Recorder) Idle(f *steerer.LostFlow) {
 	fields := [...]zap.Field{
 		zap.String("flow", flowName(&f.Packet)), zap.Stringer("outcome", steerer.Reset),
-		zap.String("cause", "idle-at-lost-backend-server"), zap.String("server", ServerName(f.Server)), {}, {}, {}, {},
+		zap.String("cause", "idle-at-lost-backend-server"), zap.String("server", ServerName(f.Server)), zap.Duration("flow-age", f.Age), {}, {}, {}, {},
 	}
 	r.basis(fields[len(fields)-basisFields:])
 	r.c.Logger.Info(MessageFlow, fields[:]...)
--- a/internal/direct/transporter/bench_test.go
+++ b/internal/direct/transporter/bench_test.go
@@ -70,7 +70,7 @@
 				b.Fatal(err)
 			}
 		}
-		if n := t.counts.causes[steerer.Established].Load(); n < uint64(b.N) {
+		if n := t.counts.decisions[steerer.Forward][steerer.Established].Load(); n < uint64(b.N) {
 			b.Fatalf("%d of %d packets forwarded", n, b.N)
 		}
 	})
--- a/internal/direct/transporter/counts.go
+++ b/internal/direct/transporter/counts.go
@@ -13,9 +13,15 @@
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
 
+// Room for the outcomes and causes of steerer.
+const (
+	outcomes = 3
+	causes   = 32
+)
+
 // counts count packets by what was decided about them.
 type counts struct {
-	causes                [32]atomic.Uint64 // by steerer.Cause
+	decisions             [outcomes][causes]atomic.Uint64 // by steerer.Action and steerer.Cause
 	malformed, idleResets atomic.Uint64
 	placeTime             metric.Float64Histogram
 	copies                metric.Int64Histogram
@@ -30,7 +36,7 @@
 
 // decided counts a decision about a packet that was read at arrived.
 func (c *counts) decided(d *steerer.Decision, arrived time.Time) {
-	c.causes[d.Cause].Add(1)
+	c.decisions[d.Action][d.Cause].Add(1)
 	switch {
 	case c.placeTime == nil: // the metrics are not registered
 	case d.Cause == steerer.Placed, d.Cause == steerer.Moved:
@@ -40,6 +46,21 @@
 	}
 }
 
+// observe reports the packets by outcome and cause. Pairs that never occurred are left out.
+func (c *counts) observe(o metric.Observer, packets metric.Int64Observable) {
+	report := func(n uint64, outcome, cause string) {
+		if n > 0 {
+			o.ObserveInt64(packets, int64(n), metric.WithAttributes(attribute.String("outcome", outcome), attribute.String("cause", cause)))
+		}
+	}
+	for action := range c.decisions {
+		for _, cause := range steerer.Causes() {
+			report(c.decisions[action][cause].Load(), steerer.Action(action).String(), cause.String())
+		}
+	}
+	report(c.malformed.Load(), steerer.Drop.String(), "malformed")
+}
+
 // Register makes the counters and gauges of the transporter visible.
 func (t *Transporter) Register(m metric.Meter) error {
 	packets, err := m.Int64ObservableCounter("bluebelldyke.direct.packets", metric.WithDescription("packets of callers by decision"))
@@ -69,10 +90,7 @@
 		return eris.Wrap(err, "metric direct.handshake-copies")
 	}
 	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		for _, cause := range steerer.Causes() {
-			o.ObserveInt64(packets, int64(t.counts.causes[cause].Load()), metric.WithAttributes(attribute.String("cause", cause.String())))
-		}
-		o.ObserveInt64(packets, int64(t.counts.malformed.Load()), metric.WithAttributes(attribute.String("cause", "malformed")))
+		t.counts.observe(o, packets)
 		o.ObserveInt64(resets, int64(t.counts.idleResets.Load()))
 		t.mu.Lock()
 		servers := t.c.Steerer.Servers()
--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -26,6 +26,7 @@
 	server   *server
 	sequence uint32    // of the newest packet with data, or of the opening packet
 	received uint32    // what the caller has acknowledged
+	began    time.Time // when this daemon saw it first
 	placed   time.Time // when the newest copy of the packet with sequence was sent
 	seen     time.Time
 	copies   int // of the opening packet
@@ -40,7 +41,7 @@
 	if len(s.flows) >= maxFlows {
 		return
 	}
-	f := &flow{server: target, sequence: p.Sequence, placed: now, seen: now, opening: p.Flags.SYN}
+	f := &flow{server: target, sequence: p.Sequence, began: now, placed: now, seen: now, opening: p.Flags.SYN}
 	s.flows[key] = f
 	f.count(true)
 	if f.opening {
@@ -153,6 +154,7 @@
 type LostFlow struct {
 	Packet editor.Packet
 	Server directory.ServerID
+	Age    time.Duration // since this daemon saw it first
 }
 
 // TakeResets returns the flows to reset without waiting for a packet: the open flows whose backend server is lost. A caller that learns
@@ -180,6 +182,7 @@
 		if !f.closing && !f.opening {
 			list = append(list, LostFlow{
 				Packet: editor.Packet{Source: key.caller, Destination: key.service, Acknowledged: f.received}, Server: f.server.ID,
+				Age: now.Sub(f.began),
 			})
 		}
 		s.forget(key)
--- a/services/steerer/health_test.go
+++ b/services/steerer/health_test.go
@@ -56,7 +56,7 @@
 	g.Expect(d.placedAt(1, 10)).To(BeZero())
 	g.Expect(d.Steer(d.now, p).Action).To(Equal(steerer.Forward))
 	d.wait(200 * time.Millisecond)
-	g.Expect(d.Steer(d.now, p)).To(HaveField("Cause", steerer.BackendServerSilent))
+	g.Expect(d.Steer(d.now, p)).To(And(HaveField("Cause", steerer.BackendServerSilent), HaveField("Age", 200*time.Millisecond)))
 
 	d.AddFinding(d.now, steerer.Finding{Server: 2, Incarnation: 9, Condition: steerer.Silent})
 	g.Expect(d.placedAt(2, 10)).To(Equal(10), "a finding about another process")
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -74,6 +74,8 @@
 	Server  directory.ServerID
 	Address netip.AddrPort
 	Tag     uint32
+	// Age is for how long this daemon has seen the flow, set for flows that are moved or reset.
+	Age time.Duration
 	// Choice tells what decided where a new flow goes.
 	Choice Choice
 	// Opened is set on the first packet that shows that the flow is open, and Copies is how many copies of its opening
@@ -147,8 +149,10 @@
 		return Decision{Cause: NoRoute}
 	}
 	if _, removed := s.removed[p.Destination]; removed {
-		s.forget(flowKey{p.Source, p.Destination})
-		return Decision{Action: Reset, Cause: RouteRemoved}
+		key := flowKey{p.Source, p.Destination}
+		age := s.age(now, key)
+		s.forget(key)
+		return Decision{Action: Reset, Cause: RouteRemoved, Age: age}
 	}
 	if p.Flags.SYN {
 		return Decision{Action: Reset, Cause: NoRoute}
@@ -167,8 +171,9 @@
 	opened, copies := s.observe(now, key, p, target)
 	if !p.Flags.RST {
 		if cause := target.lost(now); cause != CauseNone {
+			age := s.age(now, key)
 			s.forget(key)
-			return Decision{Action: Reset, Cause: cause, Server: target.ID, Address: target.Address}
+			return Decision{Action: Reset, Cause: cause, Server: target.ID, Address: target.Address, Age: age}
 		}
 	}
 	return Decision{
@@ -226,7 +231,17 @@
 	f.count(true)
 	s.awaitOpen(now, key, f)
 	target.placed++
-	return s.send(target, key.service, Moved, choice)
+	d := s.send(target, key.service, Moved, choice)
+	d.Age = now.Sub(f.began)
+	return d
+}
+
+// age returns for how long this daemon has seen a flow, 0 when it has not.
+func (s *Steerer) age(now time.Time, key flowKey) time.Duration {
+	if f, ok := s.flows[key]; ok {
+		return now.Sub(f.began)
+	}
+	return 0
 }
 
 func (s *Steerer) send(to *server, service netip.AddrPort, cause Cause, choice Choice) Decision {
