follower: prove the lines about readers and old views

Cause: the lines "reader changed", "view too old" and "view fresh again" had no test. Change: TestLines runs a fleet in virtual time and cuts one daemon off from the platform and its peers.

--- a/internal/direct/follower/follower_test.go
+++ b/internal/direct/follower/follower_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
@@ -166,6 +167,7 @@
 	view    *view
 	address netip.AddrPort
 	zone    string
+	lines   *observer.ObservedLogs
 
 	mu       sync.Mutex
 	cut      bool // from all peers
@@ -263,8 +265,10 @@
 		for z, zone := range zones {
 			for i := range perZone {
 				d := &daemon{fleet: f, view: &view{store: f.store}, zone: zone, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, byte(i + 1)}), 7400)}
+				core, lines := observer.New(zap.InfoLevel)
+				d.lines = lines
 				d.Follower = New(Config{
-					Source: d.view, Sink: d, Peers: d, Logger: zap.NewNop(), AvailabilityZone: zone, Zones: zones,
+					Source: d.view, Sink: d, Peers: d, Logger: zap.New(core), AvailabilityZone: zone, Zones: zones,
 					Bounds: Bounds{Leaving: bound, Configuration: bound},
 				})
 				f.daemons = append(f.daemons, d)
@@ -344,6 +348,42 @@
 	})
 }
 
+// TestLines guards against a daemon that acts on views which nobody confirms without telling, and against changes of who
+// reads the platform that leave no line.
+func TestLines(t *testing.T) {
+	run(t, 3, threeZones, func(f *fleet) {
+		readers := 0
+		for _, d := range f.daemons {
+			readers += d.lines.FilterMessage("reader changed").FilterField(zap.String("view", "configuration")).FilterField(zap.Bool("reads", true)).Len()
+		}
+		if readers != watchers*len(threeZones) {
+			t.Errorf("%d daemons tell that they watch the configuration", readers)
+		}
+		d := f.daemons[0]
+		told := func(message string) int { return d.lines.FilterMessageSnippet(message).Len() }
+		if n := told("view too old"); n != 0 {
+			t.Errorf("%d lines about old views while all is well", n)
+		}
+		d.setCut(true)
+		d.view.refuse(true)
+		time.Sleep(3 * bound)
+		if n := told("view too old"); n != int(documents) {
+			t.Errorf("%d lines about old views of a daemon that hears nothing", n)
+		}
+		if configuration, listing := d.Ages(); configuration < bound || listing < bound {
+			t.Errorf("ages %s and %s", configuration, listing)
+		}
+		d.view.refuse(false)
+		time.Sleep(2 * bound)
+		if n := told("view fresh again"); n != int(documents) {
+			t.Errorf("%d lines about fresh views", n)
+		}
+		if configuration, listing := d.Ages(); configuration > bound || listing > bound {
+			t.Errorf("ages %s and %s", configuration, listing)
+		}
+	})
+}
+
 // TestRefused guards against a daemon that the platform turns away and that falls behind, though its peers know.
 func TestRefused(t *testing.T) {
 	run(t, 3, threeZones, func(f *fleet) {
