follower: one source of the ages of views; names and places read once more

Cause: found in a read of the diff. The view-age gauge took the lock and computed what Ages publishes already, and gave centuries before the first view; an interface of the runner had the name of a variable beside it; lowerMedian stood apart from median.

Change: the gauge reads the published ages, the interface is traffic, both medians stand together. No behaviour else.

--- a/internal/direct/follower/calls.go
+++ b/internal/direct/follower/calls.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
@@ -63,11 +62,9 @@
 			o.ObserveInt64(count, int64(f.calls.answered[kind].Load()), metric.WithAttributes(name, attribute.String("outcome", "answered")))
 			o.ObserveInt64(count, int64(f.calls.failed[kind].Load()), metric.WithAttributes(name, attribute.String("outcome", "failed")))
 		}
-		f.mu.Lock()
-		listing, configuration := f.servers.AsOf(), f.configAsOf
-		f.mu.Unlock()
-		o.ObserveFloat64(age, time.Since(listing).Seconds(), metric.WithAttributes(attribute.String("view", "listing")))
-		o.ObserveFloat64(age, time.Since(configuration).Seconds(), metric.WithAttributes(attribute.String("view", "configuration")))
+		for d, name := range documentNames {
+			o.ObserveFloat64(age, f.ages.age(document(d)).Seconds(), metric.WithAttributes(attribute.String("view", name)))
+		}
 		return nil
 	}, count, age)
 	return eris.Wrap(err, "metrics of the follower")
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -219,8 +219,8 @@
 // checks tells how many readiness checks were refused.
 type checks interface{ Refused() uint64 }
 
-// entry tells for how long no packet has arrived.
-type entry interface{ Quiet() time.Duration }
+// traffic tells for how long no packet has arrived.
+type traffic interface{ Quiet() time.Duration }
 
 // release is why a stopping daemon may end.
 type release int
@@ -238,14 +238,14 @@
 
 // awaitRelease waits until a daemon that refuses readiness may end: the fabric has missed enough checks and sends nothing any
 // more, or the time is over.
-func awaitRelease(work context.Context, most time.Duration, c checks, e entry) release {
+func awaitRelease(work context.Context, most time.Duration, c checks, t traffic) release {
 	deadline := time.Now().Add(most)
 	before := c.Refused()
 	for time.Now().Before(deadline) {
 		if work.Err() != nil {
 			return workEnded
 		}
-		if c.Refused() >= before+refusals && e.Quiet() >= settle {
+		if c.Refused() >= before+refusals && t.Quiet() >= settle {
 			return outOfRotation
 		}
 		time.Sleep(stopPoll)
--- a/services/scheduler/estimate.go
+++ b/services/scheduler/estimate.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -275,16 +274,6 @@
 	}
 }
 
-// lowerMedian returns the lower of the middle values. Of two, one may always say that it is full, and too few answers come from
-// such a backend server to distrust it soon, while one that says that it is idle contradicts itself with each request.
-func lowerMedian(values []float64) float64 {
-	if len(values) == 0 {
-		return 0
-	}
-	slices.Sort(values)
-	return values[(len(values)-1)/2]
-}
-
 func (v *service) reviewSpeed() {
 	times := v.scratch[:0]
 	for _, e := range v.servers {
--- a/services/scheduler/scheduler.go
+++ b/services/scheduler/scheduler.go
@@ -302,3 +302,13 @@
 	slices.Sort(values)
 	return values[len(values)/2]
 }
+
+// lowerMedian returns the lower of the middle values. Of two, one may always say that it is full, and too few answers come from
+// such a backend server to distrust it soon, while one that says that it is idle contradicts itself with each request.
+func lowerMedian(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
