steerer: the wait for answers follows the handshakes seen

Cause: fixed times (50 ms for an opening packet, one repetition after 200 ms as proof) hold for callers within a few ms.

Change: roundTrip estimates the handshake as RFC 6298 does, without those that had copies. Opening packets are awaited 50 to 190 ms; one repetition is proof up to handshakes of 75 ms, two above and before the first handshake; copies follow the first within that time. TestFarCallers failed before.

--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -30,6 +30,7 @@
 	placed   time.Time // when the newest copy of the packet with sequence was sent
 	seen     time.Time
 	copies   int // of the opening packet
+	repeats  int // of the newest packet with data
 	opening  bool
 	closing  bool
 	counted  bool // among the open flows of its server
@@ -56,16 +57,16 @@
 	sent   time.Time
 }
 
-// awaitOpen counts the opening packet until it is answered or openWait has passed.
+// awaitOpen counts the opening packet until it is answered or late.
 func (s *Steerer) awaitOpen(now time.Time, key flowKey, f *flow) {
 	f.server.opening++
 	s.opens = append(s.opens, open{key, f.server, now})
 }
 
-// settleOpens ends the wait for answers to opening packets that were sent openWait ago.
+// settleOpens ends the wait for answers to opening packets that are late.
 func (s *Steerer) settleOpens(now time.Time) {
-	n := 0
-	for n < len(s.opens) && now.Sub(s.opens[n].sent) >= openWait {
+	n, late := 0, s.roundTrip.late()
+	for n < len(s.opens) && now.Sub(s.opens[n].sent) >= late {
 		o := &s.opens[n]
 		n++
 		o.server.opening--
@@ -127,6 +128,9 @@
 	}
 	f.count(!f.closing)
 	opened, copies = f.opening, f.copies
+	if opened && copies == 0 {
+		s.roundTrip.add(now.Sub(f.placed))
+	}
 	switch {
 	case f.opening, int32(p.Acknowledged-f.received) > 0:
 		f.received = p.Acknowledged
@@ -138,10 +142,12 @@
 		}
 	case p.DataLength > 0 && p.Sequence == f.sequence && now.Sub(f.placed) >= repeatSpacing:
 		f.placed = now
-		f.server.strike(now, f)
+		if f.repeats++; f.repeats >= s.roundTrip.proof() {
+			f.server.strike(now, f)
+		}
 	}
 	if p.DataLength > 0 && int32(p.Sequence-f.sequence) > 0 {
-		f.sequence, f.placed = p.Sequence, now
+		f.sequence, f.placed, f.repeats = p.Sequence, now, 0
 		if !f.waiting {
 			f.waiting = true
 			f.server.sent(now)
--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -25,9 +25,8 @@
 	repeatSpacing = 150 * time.Millisecond
 	// refusedOpens is how many opening packets must stay without an answer, one after the other, before a backend server
 	// gets no new flows. One that crashed resets its callers itself, which this daemon does not see: it sees only that
-	// nothing follows. openWait is how long that may take: a handshake takes 3 ms in a zone and 20 ms across zones.
+	// nothing follows.
 	refusedOpens = 2
-	openWait     = 50 * time.Millisecond
 	// purgeAfter is how long a backend server must have been silent before its idle flows are reset too: twice the time
 	// for those that repeat packets, because an idle flow loses nothing by waiting.
 	purgeAfter = 2 * silentFor
@@ -46,7 +45,7 @@
 	repeating  int           // flows that repeat packets since the last answer
 	stalled    int           // open flows among those
 	since      time.Time     // first repetition since the last answer
-	opening    int           // opening packets that were sent and not yet answered, within openWait
+	opening    int           // opening packets that were sent and not yet answered, within roundTrip.late
 	refused    int           // opening packets without an answer since the last one that got one
 	trial      time.Time     // next new flow while suspected
 	trialGap   time.Duration // time to the trial after that
@@ -77,7 +76,7 @@
 	}
 }
 
-// unanswered counts an opening packet of the flow that got no answer in openWait.
+// unanswered counts an opening packet of the flow that got no answer in time.
 func (h *health) unanswered(now time.Time, f *flow) {
 	if h.ignore {
 		return
--- a/services/steerer/health_test.go
+++ b/services/steerer/health_test.go
@@ -230,3 +230,38 @@
 		g.Expect(f.Condition).To(Equal(steerer.Suspected), "no new flows, but a sign of life")
 	}
 }
+
+// TestFarCallers guards against resets and suspicion when callers are so far away that each request is repeated once before its
+// answer arrives, and the answer is acknowledged with the next request only (trial with 90 ms between callers and the
+// fabric: 679 open flows reset on a calm day).
+func TestFarCallers(t *testing.T) {
+	g := NewWithT(t)
+	d := newDaemon(1, toOvens, zone(2, 1, "ovenwatch", "souillac")...)
+	handshake := 185 * time.Millisecond
+	var flows []*editor.Packet
+	for range 8 {
+		p := d.caller()
+		opened := d.Steer(d.now, p)
+		d.wait(handshake)
+		p.Flags, p.Tag, p.Acknowledged = editor.Flags{ACK: true}, opened.Tag, 5000
+		d.Steer(d.now, p)
+		p.Sequence, p.DataLength = 1001, 200
+		flows = append(flows, p)
+	}
+	for range 10 {
+		for range 2 { // the request and its repetition
+			for _, p := range flows {
+				g.Expect(d.Steer(d.now, p).Action).To(Equal(steerer.Forward))
+				d.wait(time.Millisecond)
+			}
+			d.wait(192 * time.Millisecond)
+		}
+		g.Expect(d.TakeFindings(d.now)).To(BeEmpty())
+		d.wait(800 * time.Millisecond)
+		g.Expect(d.TakeResets(d.now)).To(BeEmpty())
+		for _, p := range flows {
+			p.Sequence += 200
+			p.Acknowledged += 600
+		}
+	}
+}
--- /dev/null
+++ b/services/steerer/roundtrip.go
@@ -0,0 +1,48 @@
+package steerer
+
+import "time"
+
+const (
+	// meanShare and deviationShare are the weights of a new sample, and deviations is how many mean deviations an answer may take
+	// longer than the mean before it counts as missing: the values of RFC 6298.
+	meanShare      = 8
+	deviationShare = 4
+	deviations     = 4
+	// openWaitMin is the shortest wait for the answer to an opening packet: a handshake takes 3 ms in a zone and 20 ms across zones.
+	openWaitMin = 50 * time.Millisecond
+	// openWaitMax ends the wait before the caller's first copy, which comes after 200 ms.
+	openWaitMax = 190 * time.Millisecond
+	// promptMost is the longest handshake with which one repetition tells that an answer is missing: callers repeat after 200 ms, and a
+	// request takes as long as the handshake and the work (5 to 30 ms, 120 ms in a full queue).
+	promptMost = 75 * time.Millisecond
+)
+
+// roundTrip estimates the time from an opening packet to the caller's next packet, which is one way from this daemon
+// over the backend server and the caller back to a daemon.
+type roundTrip struct {
+	known           bool
+	mean, deviation time.Duration
+}
+
+// add takes the time of a handshake without copies: with copies it is not known which one was answered.
+func (r *roundTrip) add(sample time.Duration) {
+	if !r.known {
+		r.known, r.mean, r.deviation = true, sample, sample/2
+		return
+	}
+	r.deviation += ((r.mean - sample).Abs() - r.deviation) / deviationShare
+	r.mean += (sample - r.mean) / meanShare
+}
+
+// late is the time after which an answer to an opening packet counts as missing.
+func (r *roundTrip) late() time.Duration {
+	return min(max(r.mean+deviations*r.deviation, openWaitMin), openWaitMax)
+}
+
+// proof is how many repetitions of a packet tell that its answer is missing. A daemon that has just started knows no handshake yet.
+func (r *roundTrip) proof() int {
+	if !r.known || r.mean > promptMost {
+		return 2
+	}
+	return 1
+}
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -108,13 +108,14 @@
 	routes      map[netip.AddrPort]*route
 	removed     map[netip.AddrPort]time.Time
 
-	servers  map[directory.ServerID]*server
-	services map[string][]*server
-	tags     *tagger.Table
-	flows    map[flowKey]*flow
-	opens    []open   // in the order in which they were sent
-	zones    int      // availability zones with backend servers
-	zoneSet  []string // scratch of loadAbroad
+	servers   map[directory.ServerID]*server
+	services  map[string][]*server
+	tags      *tagger.Table
+	flows     map[flowKey]*flow
+	opens     []open   // in the order in which they were sent
+	zones     int      // availability zones with backend servers
+	zoneSet   []string // scratch of loadAbroad
+	roundTrip roundTrip
 }
 
 // New returns a Steerer that knows no route and no backend server.
@@ -216,7 +217,7 @@
 // the way, and two answers at once would confuse the caller: they follow the first.
 func (s *Steerer) repeat(now time.Time, key flowKey, f *flow, r *route) Decision {
 	f.copies = min(f.copies+1, maxCopies)
-	if now.Sub(f.placed) < repeatSpacing {
+	if now.Sub(f.placed) < max(repeatSpacing, s.roundTrip.late()) {
 		return s.send(f.server, key.service, Copied, Choice{})
 	}
 	f.server.strike(now, f)
