steerer: requests that callers give up count against a backend server

Cause: a backend server that acknowledges requests and answers none (or not most) shows no repetition, and any other answer clears what counts against it. Callers close the flow at their deadline, so that it has the fewest open flows and gets the new ones.

Change: a flow that its caller closes while its request, sent more than 250 ms ago and not repeated, has no answer counts as given up; two within 5 s make a backend server suspected, for this daemon and its zone, until 5 s after the last one. Requests whose first copy the daemon may not have seen do not count. Lines tell abandoned-requests.

Backend servers that answer with failures of their own still can't be seen.

--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -29,8 +29,9 @@
 	began    time.Time // when this daemon saw it first
 	placed   time.Time // when the newest copy of the packet with sequence was sent
 	seen     time.Time
-	copies   int // of the opening packet
-	repeats  int // of the newest packet with data
+	asked    time.Time // when the newest request was first sent; zero if an earlier copy may have been lost on its way here
+	copies   int       // of the opening packet
+	repeats  int       // of the newest packet with data
 	opening  bool
 	closing  bool
 	counted  bool // among the open flows of its server
@@ -124,6 +125,9 @@
 		s.forget(key)
 		return false, 0
 	case p.Flags.FIN:
+		if !f.closing && f.waiting && p.Acknowledged == f.received && f.acknowledged(now) {
+			f.server.gaveUp(now)
+		}
 		f.closing = true
 	}
 	f.count(!f.closing)
@@ -147,7 +151,7 @@
 		}
 	}
 	if p.DataLength > 0 && int32(p.Sequence-f.sequence) > 0 {
-		f.sequence, f.placed, f.repeats = p.Sequence, now, 0
+		f.sequence, f.placed, f.asked, f.repeats = p.Sequence, now, now, 0
 		if !f.waiting {
 			f.waiting = true
 			f.server.sent(now)
@@ -156,6 +160,12 @@
 	return opened, copies
 }
 
+// acknowledged reports whether the backend server has certainly acknowledged the newest request: its caller has not repeated it in
+// time. A request that was lost, on a link or with a daemon, says nothing of the backend server.
+func (f *flow) acknowledged(now time.Time) bool {
+	return f.repeats == 0 && !f.asked.IsZero() && now.Sub(f.asked) >= repeatMost
+}
+
 // LostFlow is an open flow whose backend server is lost: Packet is what a reset answers.
 type LostFlow struct {
 	Packet editor.Packet
--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -23,6 +23,8 @@
 	// repeatSpacing is the shortest time between two copies of a packet that a caller sends (200 ms), less the jitter of
 	// the links and of this process. Copies closer together were held up on the way.
 	repeatSpacing = 150 * time.Millisecond
+	// repeatMost is the longest time after which a packet is repeated: 200 ms with the same jitter.
+	repeatMost = 250 * time.Millisecond
 	// refusedOpens is how many opening packets must stay without an answer, one after the other, before a backend server
 	// gets no new flows. One that crashed resets its callers itself, which this daemon does not see: it sees only that
 	// nothing follows.
@@ -30,6 +32,11 @@
 	// purgeAfter is how long a backend server must have been silent before its idle flows are reset too: twice the time
 	// for those that repeat packets, because an idle flow loses nothing by waiting.
 	purgeAfter = 2 * silentFor
+	// abandonments is how many requests callers must have given up within abandonMemory before a backend server gets no new flows:
+	// one that accepts requests and answers none acknowledges them, so that nobody repeats them. It has the fewest open
+	// flows, and would get all new ones. abandonMemory is longer than the time for which callers wait (0.5 to 2.5 s).
+	abandonments  = 2
+	abandonMemory = 5 * time.Second
 	// trialMin and trialMax bound the time between the new flows that a suspected backend server gets, which show whether
 	// it is back. It doubles with each one: a failed trial costs a caller 200 ms, and entries of dead ones lapse within 4 s.
 	trialMin = 2 * time.Second
@@ -47,6 +54,8 @@
 	since      time.Time     // first repetition since the last answer
 	opening    int           // opening packets that were sent and not yet answered, within roundTrip.late
 	refused    int           // opening packets without an answer since the last one that got one
+	abandoned  int           // requests that callers gave up, each within abandonMemory of the one before
+	abandonAt  time.Time     // the newest of them
 	trial      time.Time     // next new flow while suspected
 	trialGap   time.Duration // time to the trial after that
 }
@@ -60,7 +69,7 @@
 	if h.repeating == 0 {
 		h.since = now
 	}
-	before := h.suspected()
+	before := h.suspected(now)
 	h.repeating++
 	if !f.opening {
 		h.stalled++
@@ -70,7 +79,7 @@
 
 // suspect sets the first trial when the backend server became suspected.
 func (h *health) suspect(now time.Time, before bool) {
-	if !before && h.suspected() {
+	if !before && h.suspected(now) {
 		h.trialGap = trialMin
 		h.trial = now.Add(h.trialGap)
 	}
@@ -81,12 +90,26 @@
 	if h.ignore {
 		return
 	}
-	before := h.suspected()
+	before := h.suspected(now)
 	h.refused++
 	h.suspect(now, before)
 	h.strike(now, f)
 }
 
+// gaveUp counts a request that its caller gave up: it closed the flow although no answer had come.
+func (h *health) gaveUp(now time.Time) {
+	if h.ignore {
+		return
+	}
+	before := h.suspected(now)
+	if now.Sub(h.abandonAt) > abandonMemory {
+		h.abandoned = 0
+	}
+	h.abandoned++
+	h.abandonAt = now
+	h.suspect(now, before)
+}
+
 // answered takes an answer on the flow.
 func (h *health) answered(now time.Time, f *flow) {
 	h.lastAnswer = now
@@ -98,7 +121,14 @@
 }
 
 // suspected reports whether the backend server should get no new flows.
-func (h *health) suspected() bool { return h.repeating >= suspectFlows || h.refused >= refusedOpens }
+func (h *health) suspected(now time.Time) bool {
+	return h.repeating >= suspectFlows || h.refused >= refusedOpens || h.failing(now)
+}
+
+// failing reports whether the backend server leaves requests without an answer while it acknowledges them.
+func (h *health) failing(now time.Time) bool {
+	return h.abandoned >= abandonments && now.Sub(h.abandonAt) <= abandonMemory
+}
 
 // silent reports whether the backend server certainly answers nobody.
 func (h *health) silent(now time.Time) bool {
@@ -143,6 +173,7 @@
 type Evidence struct {
 	Repeating  int           // flows that repeat packets since the last answer
 	Unanswered int           // opening packets without an answer since the last one that got one
+	Abandoned  int           // requests that callers gave up lately
 	For        time.Duration // since the first repetition
 }
 
@@ -151,6 +182,9 @@
 	if h.repeating > 0 {
 		e.For = now.Sub(h.since)
 	}
+	if now.Sub(h.abandonAt) <= abandonMemory {
+		e.Abandoned = h.abandoned
+	}
 	return e
 }
 
@@ -218,7 +252,7 @@
 	switch {
 	case b.health.silent(now):
 		return Silent
-	case b.health.suspected():
+	case b.health.suspected(now):
 		return Suspected
 	}
 	return Answering
@@ -226,7 +260,7 @@
 
 // avoided reports whether the backend server should get no new flows, by the findings of this daemon and its peers.
 func (b *server) avoided(now time.Time) bool {
-	return b.health.suspected() || now.Before(b.reports.suspected)
+	return b.health.suspected(now) || now.Before(b.reports.suspected)
 }
 
 // mute reports whether the flows of the backend server are to be reset. A peer's finding needs one own open flow that
--- a/services/steerer/health_test.go
+++ b/services/steerer/health_test.go
@@ -265,3 +265,46 @@
 		}
 	}
 }
+
+// TestMute guards against new flows at a backend server that acknowledges requests and answers none: callers give up and open others,
+// and it has the fewest open flows (benammar-lb-grown, 20% of the backend servers: 1,320 tries to their deadline).
+func TestMute(t *testing.T) {
+	g := NewWithT(t)
+	d := newDaemon(1, toOvens, zone(4, 1, "ovenwatch", "souillac")...)
+	wasted := 0
+	for range 60 {
+		p, opened := d.established()
+		d.Steer(d.now, p)
+		if opened.Server == 1 {
+			wasted++
+			d.wait(500 * time.Millisecond)
+		} else {
+			d.wait(20 * time.Millisecond)
+			p.Acknowledged += 1200
+		}
+		p.Flags, p.Sequence, p.DataLength = editor.Flags{ACK: true, FIN: true}, p.Sequence+200, 0
+		d.Steer(d.now, p)
+	}
+	g.Expect(wasted).To(BeNumerically("<=", 4), "two that tell, and trials")
+	g.Expect(d.TakeFindings(d.now)).To(ConsistOf(And(HaveField("Server", directory.ServerID(1)), HaveField("Condition", steerer.Suspected))))
+	d.wait(6 * time.Second)
+	g.Expect(d.placedAt(1, 20)).To(BeNumerically(">", 0), "it is tried again")
+}
+
+// TestGivenUpElsewhere guards against suspicion when callers give up requests that were lost before they reached a backend server: a
+// daemon that has just started sees only their last copies (benammar-lb scale-1: 121 lines with false findings in 10 s after a loss of six daemons).
+func TestGivenUpElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	before := newDaemon(1, toOvens, backend(1, "ovenwatch", "souillac"))
+	fresh := newDaemon(2, toOvens, backend(1, "ovenwatch", "souillac"))
+	for i := range 12 {
+		p, _ := before.established() // the request is lost with the daemon
+		if i%2 == 0 {
+			fresh.Steer(fresh.now, p)
+			fresh.wait(300 * time.Millisecond)
+		}
+		p.Flags, p.Sequence, p.DataLength = editor.Flags{ACK: true, FIN: true}, p.Sequence+200, 0
+		fresh.Steer(fresh.now, p)
+		g.Expect(fresh.TakeFindings(fresh.now)).To(BeEmpty())
+	}
+}
--- a/tests/replay/caller.go
+++ b/tests/replay/caller.go
@@ -15,6 +15,7 @@
 	began time.Time
 	tries int
 	done  bool
+	flow  *flow // that carries the newest try
 }
 
 // flow is an open flow of a user.
@@ -22,6 +23,7 @@
 	packet   editor.Packet
 	server   *server
 	accepted bool // the request on its way waits or runs at the backend server
+	held     bool // the backend server acknowledged the request and never answers it
 }
 
 // user sends a request on a flow, pauses, and goes on.
@@ -34,6 +36,7 @@
 		if !r.done {
 			r.done = true
 			m.result.failed++
+			m.giveUp(r)
 			m.pauseThen(zone, nil)
 		}
 	})
@@ -44,6 +47,18 @@
 	m.send(r, f, firstCopy)
 }
 
+// giveUp closes the flow of a request whose deadline has passed.
+func (m *model) giveUp(r *request) {
+	f := r.flow
+	if f == nil {
+		return
+	}
+	f.packet.Flags, f.packet.DataLength = editor.Flags{ACK: true, FIN: true}, 0
+	if p := m.daemon(r.zone, &f.packet); p != nil {
+		p.Steer(m.now, &f.packet)
+	}
+}
+
 func (m *model) pauseThen(zone int, f *flow) {
 	m.after(m.pause/2+time.Duration(m.random.Int64N(int64(m.pause))), func() { m.next(zone, f) })
 }
@@ -122,18 +137,21 @@
 
 // send sends a request on an open flow, again with doubled gaps until it is answered.
 func (m *model) send(r *request, f *flow, gap time.Duration) {
-	if r.done {
+	if r.done || f.held {
 		return
 	}
+	r.flow = f
 	f.packet.DataLength = 200
 	if p := m.daemon(r.zone, &f.packet); p != nil {
 		d := p.Steer(m.now, &f.packet)
 		if d.Action == steerer.Reset {
+			r.flow = nil
 			m.retry(r)
 			return
 		}
 		if d.Action == steerer.Forward {
 			if f.server.dead && m.resets {
+				r.flow = nil
 				m.after(hop, func() { m.retry(r) })
 				return
 			}
@@ -152,6 +170,10 @@
 		return
 	}
 	f.accepted = true
+	if s.mute && m.random.Float64() < muteShare {
+		f.held = true
+		return
+	}
 	run := func() {
 		work := time.Duration(float64(m.work) * s.factor * (0.5 + m.random.Float64()))
 		m.after(work, func() {
--- a/tests/replay/model.go
+++ b/tests/replay/model.go
@@ -26,6 +26,7 @@
 	lateWorth  = 0.3
 	maxMicros  = 60_000_000
 	listDelay  = 2500 * time.Millisecond // until the entry of a dead backend server is gone
+	muteShare  = 0.6                     // of the requests that a mute backend server never answers
 )
 
 var service = netip.MustParseAddrPort("198.18.0.1:443")
@@ -52,6 +53,7 @@
 	slow              int           // backend servers at a quarter of their speed
 	crash             int           // backend servers that die
 	resets            bool          // their addresses reset callers
+	mute              int           // backend servers that acknowledge requests and do not answer most of them, from crashAt on
 	crashAt, outageAt time.Duration // 0: never
 	outage            time.Duration
 }
@@ -81,6 +83,7 @@
 type server struct {
 	directory.BackendServer
 	dead    bool
+	mute    bool
 	factor  float64
 	busy    int
 	waiting []func()
@@ -192,6 +195,9 @@
 			for i := range m.crash {
 				m.servers[i].dead = true
 			}
+			for i := range m.mute {
+				m.servers[i].mute = true
+			}
 			m.after(listDelay, m.list)
 		})
 	}
