steerer: handshakes longer than the first copy's time are pauses

Cause: found while reading: a daemon that was paused for 3.5 s takes one handshake of that time, after which a single repetition is no proof for about 13 further handshakes.

Change: such a sample is left out; with a real handshake that long there are copies, and it is not counted either. TestRoundTrip failed before.

--- a/services/steerer/roundtrip.go
+++ b/services/steerer/roundtrip.go
@@ -24,8 +24,12 @@
 	mean, deviation time.Duration
 }
 
-// add takes the time of a handshake without copies: with copies it is not known which one was answered.
+// add takes the time of a handshake without copies: with copies it is not known which one was answered. A longer one than the time to
+// the first copy is that of a pause, of this process or a link.
 func (r *roundTrip) add(sample time.Duration) {
+	if sample >= repeatMost {
+		return
+	}
 	if !r.known {
 		r.known, r.mean, r.deviation = true, sample, sample/2
 		return
