steerer: names of the weights of a handshake, one line a value in the recorder

Cause: a reading of the diff: meanShare is a part, not a share, and a line of the recorder had 190 columns.

Change: meanParts and deviationParts, comments, a wrapped line. No behaviour.

--- a/internal/direct/recorder/recorder.go
+++ b/internal/direct/recorder/recorder.go
@@ -200,7 +200,8 @@
 func (r *Recorder) Findings(from string, list []steerer.Finding) {
 	for _, f := range list {
 		r.c.Logger.Info(MessageCondition, zap.String("server", ServerName(f.Server)), zap.Stringer("condition", f.Condition),
-			zap.String("found-by", from), zap.Int("repeating-flows", f.Evidence.Repeating), zap.Int("unanswered-openings", f.Evidence.Unanswered), zap.Int("abandoned-requests", f.Evidence.Abandoned),
+			zap.String("found-by", from), zap.Int("repeating-flows", f.Evidence.Repeating),
+			zap.Int("unanswered-openings", f.Evidence.Unanswered), zap.Int("abandoned-requests", f.Evidence.Abandoned),
 			zap.Duration("repeating-for", f.Evidence.For))
 	}
 }
--- a/services/steerer/roundtrip.go
+++ b/services/steerer/roundtrip.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// meanShare and deviationShare are the weights of a new sample, and deviations is how many mean deviations an answer may take
-	// longer than the mean before it counts as missing: the values of RFC 6298.
-	meanShare      = 8
-	deviationShare = 4
+	// A new sample weighs one part in meanParts of the mean and one in deviationParts of the mean deviation, and an answer
+	// counts as missing when it takes longer than the mean by so many deviations: the values of RFC 6298.
+	meanParts      = 8
+	deviationParts = 4
 	deviations     = 4
 	// openWaitMin is the shortest wait for the answer to an opening packet: a handshake takes 3 ms in a zone and 20 ms across zones.
 	openWaitMin = 50 * time.Millisecond
@@ -34,8 +34,8 @@
 		r.known, r.mean, r.deviation = true, sample, sample/2
 		return
 	}
-	r.deviation += ((r.mean - sample).Abs() - r.deviation) / deviationShare
-	r.mean += (sample - r.mean) / meanShare
+	r.deviation += ((r.mean - sample).Abs() - r.deviation) / deviationParts
+	r.mean += (sample - r.mean) / meanParts
 }
 
 // late is the time after which an answer to an opening packet counts as missing.
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -112,11 +112,11 @@
 	services  map[string][]*server
 	tags      *tagger.Table
 	flows     map[flowKey]*flow
-	opens     []open   // in the order in which they were sent
-	zones     int      // availability zones with backend servers
-	zoneSet   []string // scratch of loadAbroad
-	roundTrip roundTrip
-	ways      map[string]*roundTrip // by availability zone of the backend servers
+	opens     []open                // in the order in which they were sent
+	zones     int                   // availability zones with backend servers
+	zoneSet   []string              // scratch of loadAbroad
+	roundTrip roundTrip             // with all backend servers
+	ways      map[string]*roundTrip // the same by availability zone of the backend servers
 }
 
 // New returns a Steerer that knows no route and no backend server.
