--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # A number of inputs instead of a time: at the end of a time, go test fails now and then with "context deadline exceeded".
 FUZZ_TIME ?= 60000x
 # Fuzz targets and specs that run at once. Specs mostly wait; each has its own block of ports.
-FUZZ_PROCS ?= 3
+FUZZ_PROCS ?= 6
 SPEC_PROCS ?= 3
 SOAK_SEED ?= 0
 SOAK_RUNS ?= 5
@@ -40,7 +40,7 @@
 
 fuzz: ## Run each fuzz target with FUZZ_TIME inputs.
 	@grep -ro --include='*_test.go' '^func Fuzz[A-Za-z]*' . | sed -E 's|/[^/]*:func | |' | sort -u | \
-		xargs -P $(FUZZ_PROCS) -L 1 sh -c '$(GO) test -run "^$$" -fuzz "^$$1\$$" -fuzztime $(FUZZ_TIME) -parallel 2 "$$0" || exit 255'
+		xargs -P $(FUZZ_PROCS) -L 1 sh -c '$(GO) test -run "^$$" -fuzz "^$$1\$$" -fuzztime $(FUZZ_TIME) -parallel 1 "$$0" || exit 255'
 
 test: lint unit fuzz integration ## Run everything that CI runs.
 	@cat KNOWN-RED.txt
