relayer: TestChangeReachesAll waits for the reads at the start; known red traced

Cause: traced with the calls of each daemon printed. Each daemon reads the settings when it starts and, but for the watcher, again when it begins to follow them. Beside many busy processes the test's change came between the two, and the second read brought it from the platform (2 of 5 daemons in the run traced). That is allowed: the reads are those of a start. Ruled out: a counter that lags (it counts before the revision is applied), more than one watcher.

Change: the test waits until the platform has answered the nine reads. It asks for a delta at all daemons but the watcher now, where 3 of 4 were enough.

The code of the relayer had no fault.

--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,6 @@
 # Fuzz targets and specs that run at once. Specs mostly wait; each has its own block of ports.
 FUZZ_PROCS ?= 6
 SPEC_PROCS ?= 3
-# Unit tests that KNOWN-RED.txt lists; specs there have the label known-red.
-KNOWN_RED ?= ^TestChangeReachesAll$$
 SOAK_SEED ?= 0
 SOAK_RUNS ?= 5
 
@@ -35,7 +33,7 @@
 	$(TOOL) staticcheck $(PACKAGES)
 
 unit: ## Run unit and property tests.
-	$(GO) test -skip '$(KNOWN_RED)' $$($(GO) list ./... | grep -v /tests/integration)
+	$(GO) test $$($(GO) list ./... | grep -v /tests/integration)
 
 integration: build ## Run the tests with real processes.
 	$(GO) run github.com/onsi/ginkgo/v2/ginkgo --procs=$(SPEC_PROCS) --timeout=8m --no-color --label-filter='!known-red' ./tests/integration
--- a/routers/relayer/relayer_test.go
+++ b/routers/relayer/relayer_test.go
@@ -30,6 +30,7 @@
 	revision uint64
 	content  string
 	calls    int
+	polls    int // answered calls for the settings that did not wait for a change
 	down     bool
 	changed  chan struct{}
 }
@@ -66,6 +67,9 @@
 		}
 		p.mu.Lock()
 	}
+	if wait == 0 {
+		p.polls++
+	}
 	if p.revision == after {
 		w.WriteHeader(http.StatusNotModified)
 		return
@@ -74,6 +78,12 @@
 	fmt.Fprint(w, p.content)
 }
 
+func (p *platform) answeredPolls() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.polls
+}
+
 func newPlatform(t testing.TB) (*platform, string) {
 	p := &platform{changed: make(chan struct{})}
 	server := httptest.NewServer(p)
@@ -209,6 +219,9 @@
 		g.Eventually(d.settled, 5*time.Second).Should(Equal(uint64(3)))
 		g.Eventually(d.Views(), 5*time.Second).Should(Receive())
 	}
+	// Each daemon reads the settings when it starts, and all but the watcher once more when they begin to follow them. A change
+	// that precedes the second read would come with it.
+	g.Eventually(p.answeredPolls, 5*time.Second).Should(Equal(2*len(all) - 1))
 	var deltas, wholes uint64
 	for _, d := range all {
 		wholes -= d.Counts()["wholes-in"] // those of the start
@@ -222,7 +235,7 @@
 		deltas += d.Counts()["deltas-in"]
 		wholes += d.Counts()["wholes-in"]
 	}
-	g.Expect(deltas).To(BeNumerically(">=", 3), "counts %v", all[1].Counts())
+	g.Expect(deltas).To(BeNumerically(">=", len(all)-1), "all but the watcher; counts %v", all[1].Counts())
 	g.Expect(wholes).To(BeZero())
 }
 
