steerer: one time of the first repetition; the standard library's Contains

Cause: a reading of the diff as a newcomer. 150, 190 and 250 ms were written out although all follow from the 200 ms after which callers repeat; containsZone was slices.Contains; the own zone's handshakes were looked up by name for each backend server of each new flow; a comment said that backend servers acknowledge requests with their answers only, which a hanging one contradicts.

Change: repeatAfter and repeatJitter; slices.Contains; a pointer; the comments. The values are the same.

--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -6,9 +6,12 @@
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
 )
 
-// Evidence against a backend server. Backend servers acknowledge a request with its answer, and callers repeat after
-// 200 ms what was not acknowledged, so one repetition may also be a loss or slow work.
+// Evidence against a backend server. Callers repeat after repeatAfter what was not acknowledged, so one repetition may also be
+// a loss or slow work. A backend server that hangs acknowledges requests too: nobody repeats them.
 const (
+	// repeatAfter is when callers repeat a packet first; repeatJitter is by how much links and this process move that.
+	repeatAfter  = 200 * time.Millisecond
+	repeatJitter = 50 * time.Millisecond
 	// suspectFlows is how many flows must repeat packets, with no answer on any flow meanwhile, before a backend server
 	// gets no new flows: a loss hits one flow at a time.
 	suspectFlows = 2
@@ -20,11 +23,10 @@
 	// stalledFlows is how many of the silentFlows must be open flows. A backend server that holds as many flows as it can answers
 	// no opening packet, and its open flows may all be idle; one of them alone may have lost a packet.
 	stalledFlows = 2
-	// repeatSpacing is the shortest time between two copies of a packet that a caller sends (200 ms), less the jitter of
-	// the links and of this process. Copies closer together were held up on the way.
-	repeatSpacing = 150 * time.Millisecond
-	// repeatMost is the longest time after which a packet is repeated: 200 ms with the same jitter.
-	repeatMost = 250 * time.Millisecond
+	// repeatSpacing and repeatMost are the shortest and the longest time until a packet is repeated. Copies closer together
+	// were held up on the way.
+	repeatSpacing = repeatAfter - repeatJitter
+	repeatMost    = repeatAfter + repeatJitter
 	// refusedOpens is how many opening packets must stay without an answer, one after the other, before a backend server
 	// gets no new flows. One that crashed resets its callers itself, which this daemon does not see: it sees only that
 	// nothing follows.
@@ -33,8 +35,8 @@
 	// for those that repeat packets, because an idle flow loses nothing by waiting.
 	purgeAfter = 2 * silentFor
 	// abandonments is how many requests callers must have given up within abandonMemory before a backend server gets no new flows:
-	// one that accepts requests and answers none acknowledges them, so that nobody repeats them. It has the fewest open
-	// flows, and would get all new ones. abandonMemory is longer than the time for which callers wait (0.5 to 2.5 s).
+	// one that hangs has the fewest open flows, and would get all new ones. abandonMemory is longer than callers wait for a
+	// short request (0.5 to 4 s).
 	abandonments  = 2
 	abandonMemory = 5 * time.Second
 	// trialMin and trialMax bound the time between the new flows that a suspected backend server gets, which show whether
--- a/services/steerer/placement.go
+++ b/services/steerer/placement.go
@@ -1,6 +1,9 @@
 package steerer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// spillFlows is by how many flows per slot the own availability zone's backend servers must exceed the fleet's mean before
@@ -108,14 +111,14 @@
 // crossing is the price of the longer way to a backend server of another availability zone, in flows per slot. A way that is not known
 // costs nothing, so that it becomes known.
 func (s *Steerer) crossing(b *server) float64 {
-	return max(0, float64(b.way.mean-s.ways[s.c.AvailabilityZone].mean)/float64(crossingTime))
+	return max(0, float64(b.way.mean-s.near.mean)/float64(crossingTime))
 }
 
 // loadAbroad estimates the load that a backend server in another availability zone has beside this daemon's flows, in flows
 // per slot of this daemon's count, with what it must be exceeded by. Daemons get alike shares of the callers, so that the mean
 // load of the fleet is this daemon's flows over the slots that its zone would have if the slots were spread evenly.
 func (s *Steerer) loadAbroad(now time.Time, list []*server) float64 {
-	work, slots, zones := 0, 0, 0
+	work, slots := 0, 0
 	away, awaySlots := 0, 0
 	s.zoneSet = s.zoneSet[:0]
 	for _, b := range list {
@@ -128,26 +131,16 @@
 			away += b.work(now)
 			awaySlots += b.Slots
 		}
-		if !containsZone(s.zoneSet, b.AvailabilityZone) {
+		if !slices.Contains(s.zoneSet, b.AvailabilityZone) {
 			s.zoneSet = append(s.zoneSet, b.AvailabilityZone)
-			zones++
 		}
 	}
 	if slots == 0 {
 		return spillFlows
 	}
-	mean := float64(work) * float64(max(zones, s.zones)) / float64(slots)
+	mean := float64(work) * float64(max(len(s.zoneSet), s.zones)) / float64(slots)
 	if awaySlots > 0 {
 		mean -= float64(away) / float64(awaySlots)
 	}
 	return mean + spillFlows
 }
-
-func containsZone(zones []string, zone string) bool {
-	for _, z := range zones {
-		if z == zone {
-			return true
-		}
-	}
-	return false
-}
--- a/services/steerer/roundtrip.go
+++ b/services/steerer/roundtrip.go
@@ -10,10 +10,10 @@
 	deviations     = 4
 	// openWaitMin is the shortest wait for the answer to an opening packet: a handshake takes 3 ms in a zone and 20 ms across zones.
 	openWaitMin = 50 * time.Millisecond
-	// openWaitMax ends the wait before the caller's first copy, which comes after 200 ms.
-	openWaitMax = 190 * time.Millisecond
-	// promptMost is the longest handshake with which one repetition tells that an answer is missing: callers repeat after 200 ms, and a
-	// request takes as long as the handshake and the work (5 to 30 ms, 120 ms in a full queue).
+	// openWaitMax ends the wait before the caller's first copy.
+	openWaitMax = repeatAfter - 10*time.Millisecond
+	// promptMost is the longest handshake with which one repetition tells that an answer is missing: an answer takes as long as the
+	// handshake and the work (5 to 30 ms, 120 ms in a full queue), and callers repeat after repeatAfter.
 	promptMost = 75 * time.Millisecond
 )
 
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -117,6 +117,7 @@
 	zoneSet   []string              // scratch of loadAbroad
 	roundTrip roundTrip             // with all backend servers
 	ways      map[string]*roundTrip // the same by availability zone of the backend servers
+	near      *roundTrip            // that of the own zone
 }
 
 // New returns a Steerer that knows no route and no backend server.
@@ -126,7 +127,7 @@
 		servers: map[directory.ServerID]*server{}, tags: tagger.New(nil), flows: map[flowKey]*flow{},
 		idleTimeout: defaultIdleTimeout,
 	}
-	s.wayTo(c.AvailabilityZone)
+	s.near = s.wayTo(c.AvailabilityZone)
 	return s
 }
 
