steerer: an opening packet's own count of copies decides whether its answer times the handshake

Cause: a daemon that has just joined sees the second copy of an opening packet, and soon after the answer to the first one, which went through another daemon. It took the few ms between them for the handshake, and one repetition of a request for proof. Change: the count of copies in the packet starts the flow's count, so that such a handshake is no sample. TestHandshakeOverAnotherDaemon fails without the change.

--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -47,6 +47,8 @@
 	s.flows[key] = f
 	f.count(true)
 	if f.opening {
+		// The first copy may have gone through another daemon, and its answer tells nothing of the time since this one.
+		f.copies = int(min(p.Acknowledged, maxCopies))
 		s.awaitOpen(now, key, f)
 	}
 }
--- a/services/steerer/health_test.go
+++ b/services/steerer/health_test.go
@@ -1,6 +1,7 @@
 package steerer_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -308,3 +309,28 @@
 		g.Expect(fresh.TakeFindings(fresh.now)).To(BeEmpty())
 	}
 }
+
+// TestHandshakeOverAnotherDaemon guards against a daemon that has just joined, sees the second copy of an opening packet and takes the
+// answer to the first one for a short handshake: callers that are far away repeat every request once, and their flows were reset
+// (FLOW, isbc-grid with 90 ms to callers, quiet-1 --seed 112562563686).
+func TestHandshakeOverAnotherDaemon(t *testing.T) {
+	g := NewWithT(t)
+	d := newDaemon(1, toOvens, zone(1, 1, "ovenwatch", "souillac")...)
+	var flows []*editor.Packet
+	for range 4 {
+		p := d.caller()
+		p.Acknowledged = 1 // the first copy
+		opened := d.Steer(d.now, p)
+		d.wait(10 * time.Millisecond)
+		p.Flags, p.Tag, p.Acknowledged = editor.Flags{ACK: true}, opened.Tag, 5000
+		d.Steer(d.now, p)
+		p.Sequence, p.DataLength = 1001, 200
+		flows = append(flows, p)
+	}
+	for round := range 2 {
+		for _, p := range flows {
+			g.Expect(d.Steer(d.now, p).Action).To(Equal(steerer.Forward), "round %d", round)
+			d.wait(100 * time.Millisecond)
+		}
+	}
+}
