steerer: silence needs a repetition within 2.5 s

Cause: a daemon that a zone cut separated from a backend server reset its flows there and got no new ones, so that nothing told it that the server answers again. Ruled out: the view (the entry was there and current), findings of peers (none). Change: silence is believed for 2.5 s after the newest repetition; a flow that repeats a packet renews it at once. TestStaleSilence fails without the change.

--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -23,6 +23,9 @@
 	// stalledFlows is how many of the silentFlows must be open flows. A backend server that holds as many flows as it can answers
 	// no opening packet, and its open flows may all be idle; one of them alone may have lost a packet.
 	stalledFlows = 2
+	// silentMemory is how long silence is believed without another repetition. A daemon that was cut off learns nothing more of a
+	// backend server once it has reset the flows there; callers that the fabric sends to it later may be served well.
+	silentMemory = findingLife
 	// repeatSpacing and repeatMost are the shortest and the longest time until a packet is repeated. Copies closer together
 	// were held up on the way.
 	repeatSpacing = repeatAfter - repeatJitter
@@ -54,6 +57,7 @@
 	repeating  int           // flows that repeat packets since the last answer
 	stalled    int           // open flows among those
 	since      time.Time     // first repetition since the last answer
+	newest     time.Time     // newest repetition
 	opening    int           // opening packets that were sent and not yet answered, within roundTrip.late
 	refused    int           // opening packets without an answer since the last one that got one
 	abandoned  int           // requests that callers gave up, each within abandonMemory of the one before
@@ -64,7 +68,11 @@
 
 // strike counts a flow that repeats packets.
 func (h *health) strike(now time.Time, f *flow) {
-	if f.struck || h.ignore {
+	if h.ignore {
+		return
+	}
+	h.newest = now
+	if f.struck {
 		return
 	}
 	f.struck = true
@@ -134,7 +142,7 @@
 
 // silent reports whether the backend server certainly answers nobody.
 func (h *health) silent(now time.Time) bool {
-	return h.repeating >= silentFlows && h.stalled >= stalledFlows && now.Sub(h.since) >= silentFor
+	return h.repeating >= silentFlows && h.stalled >= stalledFlows && now.Sub(h.since) >= silentFor && now.Sub(h.newest) <= silentMemory
 }
 
 // trialDue reports whether a suspected backend server may get a new flow.
--- a/services/steerer/health_test.go
+++ b/services/steerer/health_test.go
@@ -334,3 +334,17 @@
 		}
 	}
 }
+
+// TestStaleSilence guards against a daemon that was cut off and resets flows seconds after the cut on what it saw then: nothing
+// reached it that could have told otherwise (FLOW, isbc-grid with 90 ms to callers, mix --seed 1056196191028).
+func TestStaleSilence(t *testing.T) {
+	g := NewWithT(t)
+	d := newDaemon(1, toOvens, zone(1, 1, "ovenwatch", "souillac")...)
+	d.silence(1)
+	d.wait(3 * time.Second)
+	p, _ := newDaemon(2, toOvens, zone(1, 1, "ovenwatch", "souillac")...).established()
+	p.Source = netip.MustParseAddrPort("100.64.9.9:9")
+	g.Expect(d.Steer(d.now, p).Action).To(Equal(steerer.Forward), "moved here after the cut")
+	d.wait(200 * time.Millisecond)
+	g.Expect(d.Steer(d.now, p).Cause).To(Equal(steerer.BackendServerSilent), "still silent")
+}
