--- /dev/null
+++ b/services/steerer/findings.go
@@ -0,0 +1,132 @@
+package steerer
+
+import (
+	"time"
+
+	"github.com/bluebelldyke/bluebelldyke/models/directory"
+)
+
+// Condition is what a daemon found out about a backend server.
+type Condition uint8
+
+// The conditions.
+const (
+	Answering Condition = iota // it answers again
+	Suspected                  // it should get no new flows
+	Silent                     // it answers nobody
+)
+
+var conditionNames = [...]string{"answering", "suspected", "silent"}
+
+// String returns the name of the condition as logs spell it.
+func (c Condition) String() string { return conditionNames[c] }
+
+// Finding is the condition of one process of a backend server. Daemons of an availability zone tell each other: each sees
+// only a part of the flows.
+type Finding struct {
+	Server      directory.ServerID
+	Incarnation int64
+	Condition   Condition
+	// Evidence is what the daemon that found it had seen. Peers are told the condition only.
+	Evidence Evidence
+}
+
+// Evidence is what speaks against a backend server.
+type Evidence struct {
+	Repeating  int           // flows that repeat packets since the last answer
+	Unanswered int           // opening packets without an answer since the last one that got one
+	Abandoned  int           // requests that callers gave up lately
+	For        time.Duration // since the first repetition
+}
+
+func (h *health) evidence(now time.Time) Evidence {
+	e := Evidence{Repeating: h.repeating, Unanswered: h.refused}
+	if h.repeating > 0 {
+		e.For = now.Sub(h.since)
+	}
+	if now.Sub(h.abandonAt) <= abandonMemory {
+		e.Abandoned = h.abandoned
+	}
+	return e
+}
+
+const (
+	// findingLife is how long the finding of a peer counts. The peer repeats it each findingInterval while it holds.
+	findingLife     = 2500 * time.Millisecond
+	findingInterval = time.Second
+)
+
+// reports is what peers found out about a backend server, and what they were told last.
+type reports struct {
+	suspected, silent time.Time // until when a peer's finding counts
+	told              Condition
+	toldAt            time.Time
+}
+
+// TakeFindings returns the conditions that peers should know of: new ones, and those that still hold after a while.
+func (s *Steerer) TakeFindings(now time.Time) []Finding {
+	var list []Finding
+	for _, services := range s.services {
+		for _, b := range services {
+			c := b.condition(now)
+			if c == b.told && (c == Answering || now.Sub(b.toldAt) < findingInterval) {
+				continue
+			}
+			b.told, b.toldAt = c, now
+			list = append(list, Finding{Server: b.ID, Incarnation: b.Incarnation, Condition: c, Evidence: b.evidence(now)})
+		}
+	}
+	return list
+}
+
+// reported returns what peers' findings say of the backend server.
+func (r *reports) reported(now time.Time) Condition {
+	switch {
+	case now.Before(r.silent):
+		return Silent
+	case now.Before(r.suspected):
+		return Suspected
+	}
+	return Answering
+}
+
+// AddFinding takes the finding of a peer, and reports whether it changes what peers' findings say of the backend server.
+func (s *Steerer) AddFinding(now time.Time, f Finding) bool {
+	b := s.servers[f.Server]
+	if b == nil || b.Incarnation != f.Incarnation {
+		return false
+	}
+	before := b.reports.reported(now)
+	switch f.Condition {
+	case Answering:
+		b.reports.suspected, b.reports.silent = time.Time{}, time.Time{}
+	case Silent:
+		b.reports.silent = now.Add(findingLife)
+		fallthrough
+	case Suspected:
+		b.reports.suspected = now.Add(findingLife)
+	}
+	return b.reports.reported(now) != before
+}
+
+// condition returns what this daemon found out by itself.
+func (b *server) condition(now time.Time) Condition {
+	switch {
+	case b.health.silent(now):
+		return Silent
+	case b.health.suspected(now):
+		return Suspected
+	}
+	return Answering
+}
+
+// avoided reports whether the backend server should get no new flows, by the findings of this daemon and its peers.
+func (b *server) avoided(now time.Time) bool {
+	return b.health.suspected(now) || now.Before(b.reports.suspected)
+}
+
+// mute reports whether the flows of the backend server are to be reset. A peer's finding needs one own open flow that
+// repeats packets: the peer may be cut off from a backend server that this daemon reaches.
+func (b *server) mute(now time.Time) bool {
+	return b.health.silent(now) || b.stalled > 0 && now.Before(b.reports.silent)
+}
