steerer: daemons of a zone judge by the sum of what they see

Cause: with 60 daemons and 96 backend servers in a zone a daemon has a flow or two at each one. Change: a single flow without an answer is told to the zone as a doubt, a message of its own. The sum of fresh doubts of different peers counts like own flows, after 250 ms in which any daemon that gets an answer contradicts. A daemon that doubts more than half of its backend servers keeps that to itself. A backend server whose entry is missing gets no trial flows. Doubts are worth no log line. TestJointSilence fails without the change; TestContradicted, TestCutOff and TestJointLiveIsNeverReset hold what it may not do.

--- a/internal/direct/follower/exchange.go
+++ b/internal/direct/follower/exchange.go
@@ -120,22 +120,42 @@
 	case *part:
 		f.collect(m)
 	case findings:
+		for i := range m {
+			m[i].Origin = from
+		}
 		f.c.Sink.AddFindings(m)
 	}
 }
 
-// Report tells the peers of the own availability zone what this daemon found out about backend servers.
+// Report tells the peers of the own availability zone what this daemon found out about backend servers, and the evidence of what it
+// cannot judge alone.
 func (f *Follower) Report(list []steerer.Finding) {
-	for batch := range slices.Chunk(list, maxFindings) {
-		payload, err := findings(batch).encode()
-		if err != nil {
-			f.c.Logger.Error("findings not encoded", zap.Error(err))
-			return
+	var judged findings
+	var evidence doubts
+	for _, finding := range list {
+		if finding.Condition != steerer.Doubted {
+			judged = append(judged, finding)
 		}
-		for _, address := range f.audience(false) {
-			f.c.Peers.Notify(address, payload)
+		if finding.Condition != steerer.Silent && finding.Evidence.Repeating > 0 {
+			evidence = append(evidence, finding)
 		}
 	}
+	for batch := range slices.Chunk(judged, maxFindings) {
+		f.report(batch.encode())
+	}
+	for batch := range slices.Chunk(evidence, maxFindings) {
+		f.report(batch.encode())
+	}
+}
+
+func (f *Follower) report(payload []byte, err error) {
+	if err != nil {
+		f.c.Logger.Error("findings not encoded", zap.Error(err))
+		return
+	}
+	for _, address := range f.audience(false) {
+		f.c.Peers.Notify(address, payload)
+	}
 }
 
 // heard takes the beliefs of a peer, and tells the own zone when they came from another one.
--- a/internal/direct/follower/wire.go
+++ b/internal/direct/follower/wire.go
@@ -27,6 +27,7 @@
 	kindRequest = 2
 	kindPart    = 3
 	kindFinding = 4
+	kindDoubt   = 5
 )
 
 // errMalformed is returned for a message that is none of this version.
@@ -70,6 +71,15 @@
 	Condition   uint8
 }
 
+// wireDoubt is the evidence of a daemon that cannot judge by its own flows alone. It is a message of its own, so that daemons of
+// the version before understand the others.
+type wireDoubt struct {
+	_                  struct{} `cbor:",toarray"`
+	Server             uint64
+	Incarnation        int64
+	Repeating, Stalled uint16
+}
+
 type wireMessage struct {
 	_       struct{} `cbor:",toarray"`
 	Kind    uint8
@@ -185,6 +195,35 @@
 	return wrap(kindFinding, w)
 }
 
+// doubts are findings of flows without an answer, told by their counts.
+type doubts []steerer.Finding
+
+func (l doubts) encode() ([]byte, error) {
+	w := make([]wireDoubt, len(l))
+	for i, f := range l {
+		w[i] = wireDoubt{
+			Server: uint64(f.Server), Incarnation: f.Incarnation,
+			Repeating: uint16(min(f.Evidence.Repeating, 1<<16-1)), Stalled: uint16(min(f.Evidence.Stalled, 1<<16-1)),
+		}
+	}
+	return wrap(kindDoubt, w)
+}
+
+func decodeDoubts(b []byte) (any, error) {
+	var w []wireDoubt
+	if err := decoding.Unmarshal(b, &w); err != nil {
+		return nil, eris.Wrapf(errMalformed, "%v", err)
+	}
+	l := make(findings, len(w))
+	for i, f := range w {
+		l[i] = steerer.Finding{
+			Server: directory.ServerID(f.Server), Incarnation: f.Incarnation, Condition: steerer.Doubted,
+			Evidence: steerer.Evidence{Repeating: int(f.Repeating), Stalled: int(f.Stalled)},
+		}
+	}
+	return l, nil
+}
+
 func decodeFindings(b []byte) (any, error) {
 	var w []wireFinding
 	if err := decoding.Unmarshal(b, &w); err != nil {
@@ -228,6 +267,8 @@
 		}, nil
 	case kindFinding:
 		return decodeFindings(m.Content)
+	case kindDoubt:
+		return decodeDoubts(m.Content)
 	}
 	return nil, errMalformed
 }
--- a/internal/direct/recorder/recorder.go
+++ b/internal/direct/recorder/recorder.go
@@ -54,14 +54,19 @@
 	view     view
 	servers  map[directory.ServerID]directory.BackendServer
 	routes   map[netip.AddrPort]directory.Route
-	prepared bool // the first list and routes were written
+	prepared bool                        // the first list and routes were written
+	judged   map[directory.ServerID]bool // backend servers that this daemon itself wrote to be suspected or silent
 }
 
+// OwnFinding names the daemon itself as the one that found something.
+const OwnFinding = "self"
+
 // New returns a Recorder.
 func New(c Config) *Recorder {
 	return &Recorder{
 		c: c, budget: budget{lines: c.Budget, bytes: c.Bytes, tallies: map[kind]*tally{}},
 		servers: map[directory.ServerID]directory.BackendServer{}, routes: map[netip.AddrPort]directory.Route{},
+		judged: map[directory.ServerID]bool{},
 	}
 }
 
@@ -196,9 +201,20 @@
 }
 
 // Findings writes the conditions of backend servers that have changed, with the evidence of the own ones; from is the peer
-// that found them, or "self".
+// that found them, or OwnFinding. Single flows without an answer are worth no line.
 func (r *Recorder) Findings(from string, list []steerer.Finding) {
 	for _, f := range list {
+		own := from == OwnFinding
+		if f.Condition == steerer.Doubted || own && f.Condition == steerer.Answering && !r.judged[f.Server] {
+			continue
+		}
+		if own {
+			if f.Condition == steerer.Answering {
+				delete(r.judged, f.Server)
+			} else {
+				r.judged[f.Server] = true
+			}
+		}
 		r.c.Logger.Info(MessageCondition, zap.String("server", ServerName(f.Server)), zap.Stringer("condition", f.Condition),
 			zap.String("found-by", from), zap.Int("repeating-flows", f.Evidence.Repeating),
 			zap.Int("unanswered-openings", f.Evidence.Unanswered), zap.Int("abandoned-requests", f.Evidence.Abandoned),
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -213,7 +213,7 @@
 		t.tick(now)
 		findings := t.c.Steerer.TakeFindings(now)
 		resets := t.c.Steerer.TakeResets(now)
-		t.c.Recorder.Findings("self", findings)
+		t.c.Recorder.Findings(recorder.OwnFinding, findings)
 		for i := range resets {
 			t.c.Recorder.Idle(&resets[i])
 		}
--- a/services/steerer/findings.go
+++ b/services/steerer/findings.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
@@ -14,9 +15,10 @@
 	Answering Condition = iota // it answers again
 	Suspected                  // it should get no new flows
 	Silent                     // it answers nobody
+	Doubted                    // a flow got no answer, which may be a loss: it counts together with what peers see
 )
 
-var conditionNames = [...]string{"answering", "suspected", "silent"}
+var conditionNames = [...]string{"answering", "suspected", "silent", "doubted"}
 
 // String returns the name of the condition as logs spell it.
 func (c Condition) String() string { return conditionNames[c] }
@@ -27,20 +29,23 @@
 	Server      directory.ServerID
 	Incarnation int64
 	Condition   Condition
-	// Evidence is what the daemon that found it had seen. Peers are told the condition only.
+	// Origin is the address of the peer that found it, not valid for an own finding.
+	Origin netip.AddrPort
+	// Evidence is what the daemon that found it had seen. Peers are told how many flows repeat packets.
 	Evidence Evidence
 }
 
 // Evidence is what speaks against a backend server.
 type Evidence struct {
 	Repeating  int           // flows that repeat packets since the last answer
+	Stalled    int           // open flows among those
 	Unanswered int           // opening packets without an answer since the last one that got one
 	Abandoned  int           // requests that callers gave up lately
 	For        time.Duration // since the first repetition
 }
 
 func (h *health) evidence(now time.Time) Evidence {
-	e := Evidence{Repeating: h.repeating, Unanswered: h.refused}
+	e := Evidence{Repeating: h.repeating, Stalled: h.stalled, Unanswered: h.refused}
 	if h.repeating > 0 {
 		e.For = now.Sub(h.since)
 	}
@@ -61,24 +66,41 @@
 	suspected, silent time.Time // until when a peer's finding counts
 	told              Condition
 	toldAt            time.Time
+	joint
 }
 
 // TakeFindings returns the conditions that peers should know of: new ones, and those that still hold after a while.
 func (s *Steerer) TakeFindings(now time.Time) []Finding {
 	var list []Finding
+	withhold := s.cutOff(now)
 	for _, services := range s.services {
 		for _, b := range services {
 			c := b.condition(now)
-			if c == b.told && (c == Answering || now.Sub(b.toldAt) < findingInterval) {
+			if c == Doubted && withhold {
+				c = Answering
+			}
+			if !b.toTell(now, c) {
 				continue
 			}
-			b.told, b.toldAt = c, now
+			b.told, b.toldAt, b.refuted = c, now, false
 			list = append(list, Finding{Server: b.ID, Incarnation: b.Incarnation, Condition: c, Evidence: b.evidence(now)})
 		}
 	}
 	return list
 }
 
+// toTell reports whether peers should be told the condition now.
+func (b *server) toTell(now time.Time, c Condition) bool {
+	switch {
+	case c != Answering:
+		return c != b.told || now.Sub(b.toldAt) >= findingInterval
+	case b.told == Doubted && !b.lastAnswer.After(b.toldAt):
+		b.told = Answering // the doubt has expired, which is no answer
+		return b.refuted
+	}
+	return b.told != Answering || b.refuted
+}
+
 // reported returns what peers' findings say of the backend server.
 func (r *reports) reported(now time.Time) Condition {
 	switch {
@@ -97,9 +119,13 @@
 		return false
 	}
 	before := b.reports.reported(now)
+	if f.Evidence.Repeating > 0 {
+		b.hear(now, &f)
+	}
 	switch f.Condition {
 	case Answering:
 		b.reports.suspected, b.reports.silent = time.Time{}, time.Time{}
+		b.clear(now)
 	case Silent:
 		b.reports.silent = now.Add(findingLife)
 		fallthrough
@@ -116,17 +142,19 @@
 		return Silent
 	case b.health.suspected(now):
 		return Suspected
+	case b.repeating > 0 && now.Sub(b.newest) <= doubtLife:
+		return Doubted
 	}
 	return Answering
 }
 
 // avoided reports whether the backend server should get no new flows, by the findings of this daemon and its peers.
 func (b *server) avoided(now time.Time) bool {
-	return b.health.suspected(now) || now.Before(b.reports.suspected)
+	return b.health.suspected(now) || now.Before(b.reports.suspected) || b.jointlySuspected(now)
 }
 
-// mute reports whether the flows of the backend server are to be reset. A peer's finding needs one own open flow that
-// repeats packets: the peer may be cut off from a backend server that this daemon reaches.
+// mute reports whether the flows of the backend server are to be reset. Findings of peers need one own open flow that
+// repeats packets: the peers may be cut off from a backend server that this daemon reaches.
 func (b *server) mute(now time.Time) bool {
-	return b.health.silent(now) || b.stalled > 0 && now.Before(b.reports.silent)
+	return b.health.silent(now) || b.stalled > 0 && (now.Before(b.reports.silent) || b.jointlySilent(now))
 }
--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -141,7 +141,7 @@
 	switch {
 	case f.opening, int32(p.Acknowledged-f.received) > 0:
 		f.received = p.Acknowledged
-		f.server.answered(now, f)
+		f.server.answer(now, f)
 		f.opening = false
 		if f.waiting {
 			f.waiting = false
--- a/services/steerer/health_test.go
+++ b/services/steerer/health_test.go
@@ -22,7 +22,7 @@
 	p.Tag, p.Source = tag, d.caller().Source
 	g.Expect(d.Steer(d.now, p)).To(HaveField("Cause", steerer.BackendServerSilent))
 	g.Expect(d.TakeFindings(d.now)).To(ContainElement(steerer.Finding{
-		Server: 1, Incarnation: 1, Condition: steerer.Silent, Evidence: steerer.Evidence{Repeating: 3, For: 400 * time.Millisecond},
+		Server: 1, Incarnation: 1, Condition: steerer.Silent, Evidence: steerer.Evidence{Repeating: 3, Stalled: 3, For: 400 * time.Millisecond},
 	}))
 	g.Expect(d.placedAt(1, 30)).To(BeZero())
 	d.wait(time.Second)
--- a/services/steerer/placement.go
+++ b/services/steerer/placement.go
@@ -79,7 +79,7 @@
 		}
 		if b.avoided(now) {
 			choice.Avoided++
-			if b.health.suspected(now) && b.trialDue(now) {
+			if b.gone.IsZero() && b.health.suspected(now) && b.trialDue(now) {
 				b.tried(now)
 				choice.Load = load
 				return b, choice
--- a/tests/replay/caller.go
+++ b/tests/replay/caller.go
@@ -4,7 +4,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
@@ -60,6 +59,9 @@
 }
 
 func (m *model) pauseThen(zone int, f *flow) {
+	if m.fresh > 0 && m.random.Float64() < m.fresh {
+		f = nil
+	}
 	m.after(m.pause/2+time.Duration(m.random.Int64N(int64(m.pause))), func() { m.next(zone, f) })
 }
 
@@ -72,15 +74,6 @@
 	return list[int(p.Source.Port())%len(list)]
 }
 
-func (m *model) serverOf(id directory.ServerID) *server {
-	for _, s := range m.servers {
-		if s.ID == id {
-			return s
-		}
-	}
-	return nil
-}
-
 // open opens a flow for a try of the request.
 func (m *model) open(r *request) {
 	if r.done {
@@ -108,7 +101,8 @@
 				m.retry(r)
 				return
 			}
-			s := m.serverOf(d.Server)
+			s := m.byID[d.Server]
+			s.placed = m.now
 			switch {
 			case s.dead && m.resets:
 				opened = true
@@ -145,6 +139,9 @@
 	if p := m.daemon(r.zone, &f.packet); p != nil {
 		d := p.Steer(m.now, &f.packet)
 		if d.Action == steerer.Reset {
+			if !f.server.dead {
+				m.result.falseResets++
+			}
 			r.flow = nil
 			m.retry(r)
 			return
--- a/tests/replay/main.go
+++ b/tests/replay/main.go
@@ -40,6 +40,10 @@
 		work: 15 * time.Millisecond, deadline: 1500 * time.Millisecond, aim: 400 * time.Millisecond, backends: []int{5, 5, 4}, length: 30 * time.Second, mute: 3, crashAt: 5 * time.Second},
 	{name: "dark-benammar", shown: "benammar-lb trouble-2, second 24: window at 0.88", users: 90, pause: 700 * time.Millisecond, work: 15 * time.Millisecond,
 		deadline: 500 * time.Millisecond, aim: 120 * time.Millisecond, backends: []int{5, 5, 4}, length: 30 * time.Second, crash: 4, crashAt: 10 * time.Second},
+	{name: "dark-large", shown: "isbc-grid-large trouble-3, second 6: 120 of 480 dark, 386 requests of 8 s late", users: 810, pause: 1600 * time.Millisecond, work: 24 * time.Millisecond,
+		deadline: 3 * time.Second, aim: 400 * time.Millisecond, backends: []int{96}, daemons: 60, fresh: 0.1, length: 20 * time.Second, crash: 24, crashAt: 10 * time.Second},
+	{name: "dark-grown", shown: "benammar-lb-grown inc-35ab: 183 requests failed in 4 s", users: 270, pause: 700 * time.Millisecond, work: 17 * time.Millisecond,
+		deadline: 1500 * time.Millisecond, aim: 400 * time.Millisecond, backends: []int{40}, daemons: 23, fresh: 0.1, length: 20 * time.Second, crash: 8, crashAt: 10 * time.Second},
 }
 
 func main() {
@@ -57,8 +61,8 @@
 	if err := os.MkdirAll(out, 0o755); err != nil {
 		return eris.Wrap(err, "directory of the plots")
 	}
-	fmt.Println("| case | policy | answered | late | failed | shed | p50 ms | p99 ms | worst 2 s | busiest/mean |")
-	fmt.Println("|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Println("| case | policy | answered | late | failed | shed | p50 ms | p99 ms | worst 2 s | busiest/mean | last new flow after a death ms, median and longest | false resets |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, l := range cases {
 		if only != "" && only != l.name {
 			continue
@@ -75,7 +79,8 @@
 
 func printOutcome(name, policy string, o outcome) {
 	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
-	fmt.Printf("| %s | %s | %d | %d | %d | %d | %.1f | %.1f | %.3f | %.2f |\n", name, policy, o.answered, o.late, o.failed, o.shed, ms(o.p50), ms(o.p99), o.worst, o.imbalance)
+	fmt.Printf("| %s | %s | %d | %d | %d | %d | %.1f | %.1f | %.3f | %.2f | %.0f, %.0f | %d |\n", name, policy, o.answered, o.late, o.failed, o.shed, ms(o.p50), ms(o.p99), o.worst, o.imbalance,
+		ms(o.lastPlaced), ms(o.lastPlacedMost), o.falseResets)
 }
 
 func newSteerer(zone int, random *rand.Rand) policy {
--- a/tests/replay/model.go
+++ b/tests/replay/model.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -48,7 +49,9 @@
 	users             int    // in each zone, with one request at a time
 	pause, work       time.Duration
 	deadline, aim     time.Duration
-	backends          []int // in each zone
+	backends          []int   // in each zone
+	daemons           int     // in each zone; 0: 3
+	fresh             float64 // share of the requests that open a flow of their own
 	length            time.Duration
 	slow              int           // backend servers at a quarter of their speed
 	crash             int           // backend servers that die
@@ -83,6 +86,8 @@
 type server struct {
 	directory.BackendServer
 	dead    bool
+	died    time.Time
+	placed  time.Time // when the newest flow was placed here
 	mute    bool
 	factor  float64
 	busy    int
@@ -95,6 +100,9 @@
 	answered, late, failed, shed int
 	worst, imbalance             float64
 	p50, p99                     time.Duration
+	lastPlaced                   time.Duration // from the death of a backend server to the last new flow there: the median
+	lastPlacedMost               time.Duration // the longest
+	falseResets                  int           // of flows at backend servers that live
 	windows                      []float64
 }
 
@@ -108,6 +116,7 @@
 	random  *rand.Rand
 	daemons [][]policy // of each zone
 	servers []*server
+	byID    map[directory.ServerID]*server
 	down    bool
 	port    uint16
 	times   *hdrhistogram.Histogram
@@ -122,7 +131,10 @@
 func play(l load, seed uint64, create func(zone int, random *rand.Rand) policy) outcome {
 	m := &model{
 		load: l, make: create, began: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 5)), times: hdrhistogram.New(1, maxMicros, 2),
-		worth: map[int]float64{}, owed: map[int]float64{},
+		worth: map[int]float64{}, owed: map[int]float64{}, byID: map[directory.ServerID]*server{},
+	}
+	if m.load.daemons == 0 {
+		m.load.daemons = 3
 	}
 	m.now = m.began
 	for z, n := range l.backends {
@@ -130,8 +142,10 @@
 			id := len(m.servers) + 1
 			m.servers = append(m.servers, &server{factor: 1, BackendServer: directory.BackendServer{
 				ID: directory.ServerID(id * 7919), Service: "s", AvailabilityZone: zoneName(z), Slots: slots, Incarnation: 1,
-				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80),
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(id >> 8), byte(id)}), 80),
 			}})
+			added := m.servers[len(m.servers)-1]
+			m.byID[added.ID] = added
 		}
 	}
 	for i := range l.slow {
@@ -165,7 +179,7 @@
 	m.daemons = nil
 	for z := range m.backends {
 		var zone []policy
-		for range 3 {
+		for range m.load.daemons {
 			p := m.make(z, rand.New(rand.NewPCG(m.random.Uint64(), 1)))
 			p.SetConfiguration(m.now, &directory.Configuration{Version: 1, Routes: []directory.Route{{Address: service, Shares: []directory.Share{{Service: "s", Weight: 1}}}}})
 			zone = append(zone, p)
@@ -193,7 +207,7 @@
 	if m.crashAt > 0 {
 		m.after(m.crashAt, func() {
 			for i := range m.crash {
-				m.servers[i].dead = true
+				m.servers[i].dead, m.servers[i].died = true, m.now
 			}
 			for i := range m.mute {
 				m.servers[i].mute = true
@@ -214,9 +228,10 @@
 	for i, p := range m.daemons[z] {
 		p.Sweep(m.now)
 		for _, f := range p.TakeFindings(m.now) {
+			f.Origin = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(z), byte(i)}), 9)
 			for j, other := range m.daemons[z] {
 				if i != j {
-					other.AddFinding(m.now, f)
+					m.after(hop, func() { other.AddFinding(m.now, f) })
 				}
 			}
 		}
@@ -245,6 +260,16 @@
 	if sum > 0 {
 		r.imbalance = float64(most) * float64(alive) / float64(sum)
 	}
+	var last []time.Duration
+	for _, s := range m.servers {
+		if s.dead {
+			last = append(last, max(0, s.placed.Sub(s.died)))
+		}
+	}
+	if len(last) > 0 {
+		slices.Sort(last)
+		r.lastPlaced, r.lastPlacedMost = last[len(last)/2], last[len(last)-1]
+	}
 	r.p50 = time.Duration(m.times.ValueAtQuantile(50)) * time.Microsecond
 	r.p99 = time.Duration(m.times.ValueAtQuantile(99)) * time.Microsecond
 	return *r
