follower: one call confirms both documents, few daemons try while the platform turns away

Traced by kind: 3,770 in the five seconds in which the platform turns everyone away, half of them for the list and half for the configuration, though a read of the list brings both; 940 at starts, where each daemon read the configuration beside the list; 690 during a cut of a zone. Change: the configuration is asked for alone only when peers told of a newer version or of a list without one, and not while the list can't be read; while none exists, two daemons of a zone watch for it and none asks again. After a failed call the daemons far in the order wait 1.9 to 3.8 s, as those before them tell when the platform is back. The steps of the order include the time of an answer. A daemon that stops writes its calls by kind.

--- a/internal/direct/follower/calls.go
+++ b/internal/direct/follower/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
@@ -46,6 +47,25 @@
 	}
 }
 
+// summarize writes the calls of this process by kind when it stops.
+func (f *Follower) summarize() {
+	fields := make([]zap.Field, 0, 2*callKinds)
+	for kind := range callKinds {
+		fields = append(fields,
+			zap.Uint64(callNames[kind]+"-answered", f.calls.answered[kind].Load()), zap.Uint64(callNames[kind]+"-failed", f.calls.failed[kind].Load()))
+	}
+	f.c.Logger.Info("calls to the platform", fields...)
+}
+
+// took learns how long a read of the list takes.
+func (f *Follower) took(d time.Duration, err error) {
+	if err == nil {
+		f.mu.Lock()
+		f.listingPace.Answer, f.configPace.Answer = d, d
+		f.mu.Unlock()
+	}
+}
+
 // Register makes the counters and ages of the follower visible.
 func (f *Follower) Register(m metric.Meter) error {
 	count, err := m.Int64ObservableCounter("bluebelldyke.direct.platform-calls", metric.WithDescription("calls to the platform by kind and outcome"))
--- a/internal/direct/follower/configuration.go
+++ b/internal/direct/follower/configuration.go
@@ -16,16 +16,19 @@
 	watchers = 2
 	// watchPause is the time between two looks at whether this daemon is to watch.
 	watchPause = 500 * time.Millisecond
-	// absentPause is how long a configuration that does not exist is not asked for: the operator writes the first one
-	// seconds before traffic starts.
+	// absentPause is the time between two looks at whether there is a configuration. The operator writes the first one seconds before
+	// traffic starts; watchers hear of it.
 	absentPause = 500 * time.Millisecond
-	// checkDelay is added to the time of a check: a read of the list confirms the configuration too, and is due first.
+	// checkDelay is added to the time of a check, with the time of an answer: a read of the list confirms the configuration too, and
+	// is due first.
 	checkDelay = 250 * time.Millisecond
 )
 
 // watchConfiguration waits for changes, so that a change is in force at once.
 func (f *Follower) watchConfiguration(ctx context.Context) {
+	sleep(ctx, watchPause, nil) // until the members are known, all would watch
 	backoff := f.newBackoff()
+	backoff.Min = retryMax // a change waits for it only if the watch of the other watcher fails too
 	watcher := reader{document: configurationDocument}
 	for ctx.Err() == nil {
 		f.mu.Lock()
@@ -33,7 +36,7 @@
 		f.unlock()
 		watches := after != 0 && f.rank().Member < watchers
 		watcher.set(f, watches)
-		if !watches { // checkConfiguration reads the first one
+		if !watches { // a read of the list brings the first one
 			sleep(ctx, watchPause, nil)
 			continue
 		}
@@ -60,42 +63,60 @@
 }
 
 // checkConfiguration reads whether there is a newer configuration whenever nobody has told so for too long: a watch may
-// have gone silent.
+// have gone silent. A read of the list brings the configuration too, so that only a daemon whose peers told it of a list, or of a
+// newer version, asks for the configuration alone.
 func (f *Follower) checkConfiguration(ctx context.Context) {
 	backoff := f.newBackoff()
-	asked := f.join(ctx, configurationDocument, func() bool { return f.configuration != nil })
+	f.join(ctx, configurationDocument, func() bool { return f.configuration != nil })
 	for ctx.Err() == nil {
-		f.mu.Lock()
-		at, known := f.configAt, f.configuration != nil
-		due := f.configPace.Due(f.configAsOf, f.rank()).Add(checkDelay)
-		if wanted := f.wantedAt.Add(wantedWait); known && wanted.Before(due) && f.wanted > f.configuration.Version {
-			due = wanted
-		}
-		f.unlock()
-		if !known {
-			f.ask(configurationDocument)
-		} else if wait := time.Until(due); wait > 0 && !asked {
+		at, wait := f.nextCheck()
+		if wait > 0 {
 			sleep(ctx, wait, f.configReads)
 			continue
 		}
 		started := time.Now()
 		c, now, err := f.check(ctx, at)
 		f.called(callCheck, err)
+		if fetcher.IsErrNotFound(err) {
+			f.mu.Lock()
+			f.configAbsent = true
+			f.unlock()
+			continue
+		}
 		if err != nil {
 			f.c.Logger.Debug("configuration not read", zap.Error(err))
-			if fetcher.IsErrNotFound(err) {
-				sleep(ctx, absentPause, nil)
-			}
 			f.retry(ctx, backoff)
 			continue
 		}
-		asked = false
 		backoff.Reset()
 		f.read(c, now, started)
 		f.announce(nil)
 	}
 }
 
+// nextCheck returns the revision after which the configuration is read, and how long to wait before that.
+func (f *Follower) nextCheck() (at uint64, wait time.Duration) {
+	f.mu.Lock()
+	defer f.unlock()
+	now := time.Now()
+	known := f.configuration != nil
+	if newer := !known && f.wanted > 0 || known && f.wanted > f.configuration.Version; newer {
+		if wait := f.wantedAt.Add(wantedWait).Sub(now); wait > 0 {
+			return f.configAt, wait
+		}
+		return f.configAt, 0
+	}
+	switch {
+	case !known && (f.configAbsent || !f.servers.Known()):
+		return 0, absentPause // the next read of the list tells, or a watch
+	case f.calls.lost[callListing].Load():
+		return f.configAt, retryMax // what fails for the list would fail for the configuration
+	case !known:
+		return 0, 0
+	}
+	return f.configAt, f.configPace.Due(f.configAsOf, f.rank()).Add(checkDelay + f.configPace.Answer).Sub(now)
+}
+
 func (f *Follower) check(ctx context.Context, after uint64) (*directory.Configuration, uint64, error) {
 	if after != 0 {
 		c, at, err := f.c.Source.AwaitConfiguration(ctx, after, 0)
--- a/internal/direct/follower/follower.go
+++ b/internal/direct/follower/follower.go
@@ -30,7 +30,7 @@
 	retryMin   = 100 * time.Millisecond
 	retryMax   = 800 * time.Millisecond
 	retryStep  = 200 * time.Millisecond
-	retrySteps = 10
+	retrySteps = 15
 	// joinWait is how long a daemon that starts waits for its peers before it reads the platform: an answer across
 	// zones takes 10 ms.
 	joinWait = 15 * time.Millisecond
@@ -107,6 +107,7 @@
 	configuration *directory.Configuration
 	configAsOf    time.Time // when the configuration was the newest
 	configAt      uint64    // the platform's revision then
+	configAbsent  bool      // the platform was read to hold none
 	configRead    uint64    // the platform's revision of the configuration that was read last
 	wanted        uint64    // version of a newer configuration that a peer has
 	wantedAt      time.Time // when it was first heard of
@@ -139,7 +140,9 @@
 	group.Go(func() error { f.checkConfiguration(ctx); return nil })
 	group.Go(func() error { f.readListing(ctx); return nil })
 	group.Go(func() error { f.watchAges(ctx); return nil })
-	return group.Wait()
+	err := group.Wait()
+	f.summarize()
+	return err
 }
 
 // rank returns this daemon's place in the order of reading.
@@ -154,7 +157,11 @@
 
 func (f *Follower) retry(ctx context.Context, b *fetcher.Backoff) {
 	r := f.rank()
-	b.Max = retryMax + time.Duration(min(2*r.Zone+r.Member, retrySteps))*retryStep
+	order := min(2*r.Zone+r.Member, retrySteps)
+	b.Max = retryMax + time.Duration(order)*retryStep
+	if order >= 2 {
+		b.Min = b.Max // those before it in the order tell it when the platform is back
+	}
 	sleep(ctx, b.Next(), nil)
 }
 
--- a/internal/direct/follower/follower_test.go
+++ b/internal/direct/follower/follower_test.go
@@ -38,10 +38,12 @@
 	lost           bool // no history
 	reads          int
 	checks         int
+	refusals       int
+	takes          time.Duration // a call
 }
 
 func newStore() *store {
-	return &store{revision: 1, configRevision: 1, version: 1, routes: 3, changed: make(chan struct{}), servers: []directory.BackendServer{backend(1), backend(2)}}
+	return &store{revision: 1, configRevision: 1, version: 1, routes: 3, takes: 4 * time.Millisecond, changed: make(chan struct{}), servers: []directory.BackendServer{backend(1), backend(2)}}
 }
 
 func backend(id int) directory.BackendServer {
@@ -93,15 +95,24 @@
 	v.refused = refused
 }
 
-func (v *view) refuses() bool {
+// call takes the time of a call and reports whether it is turned away.
+func (v *view) call() (refused bool) {
+	v.store.mu.Lock()
+	takes := v.takes
+	v.store.mu.Unlock()
+	time.Sleep(takes)
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.refused {
+		v.store.mu.Lock()
+		v.refusals++
+		v.store.mu.Unlock()
+	}
 	return v.refused
 }
 
 func (v *view) Configuration(context.Context) (*directory.Configuration, uint64, error) {
-	time.Sleep(4 * time.Millisecond)
-	if v.refuses() {
+	if v.call() {
 		return nil, 0, errRefused
 	}
 	v.store.mu.Lock()
@@ -111,8 +122,7 @@
 }
 
 func (v *view) AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (*directory.Configuration, uint64, error) {
-	time.Sleep(4 * time.Millisecond)
-	if v.refuses() {
+	if v.call() {
 		return nil, 0, errRefused
 	}
 	v.store.mu.Lock()
@@ -146,8 +156,7 @@
 }
 
 func (v *view) Read(_ context.Context, known uint64) (Snapshot, error) {
-	time.Sleep(4 * time.Millisecond)
-	if v.refuses() {
+	if v.call() {
 		return Snapshot{}, errRefused
 	}
 	v.store.mu.Lock()
@@ -441,6 +450,50 @@
 	})
 }
 
+// TestOutageCalls guards against calls that grow with the fleet while the platform turns everyone away: each is priced, and one
+// daemon that gets through tells the others (isbc-grid-large trouble-3, seconds 6 to 11).
+func TestOutageCalls(t *testing.T) {
+	run(t, 60, threeZones, func(f *fleet) {
+		for _, d := range f.daemons {
+			d.view.refuse(true)
+		}
+		time.Sleep(6 * time.Second)
+		f.store.mu.Lock()
+		// Three calls a daemon: the list is due once in its bound, and is tried again with growing gaps.
+		if most := 3 * len(f.daemons); f.refusals > most {
+			t.Errorf("%d calls of %d daemons in 6 s, want at most %d", f.refusals, len(f.daemons), most)
+		}
+		f.store.mu.Unlock()
+		f.change(func() { f.version, f.servers = 10, f.servers[:1] })
+		for _, d := range f.daemons {
+			d.view.refuse(false)
+		}
+		time.Sleep(bound)
+		f.expect(t, 10, 1)
+	})
+}
+
+// TestSlowAnswers guards against a whole fleet that reads because an answer takes longer than the steps between the daemons: a list with
+// a large configuration takes 0.8 s on a slow link (small twin of isbc-grid-large trouble-3, from second 47 on).
+func TestSlowAnswers(t *testing.T) {
+	run(t, 10, threeZones, func(f *fleet) {
+		f.store.mu.Lock()
+		f.takes = 400 * time.Millisecond
+		f.store.mu.Unlock()
+		time.Sleep(10 * time.Second) // until the first slow answers are known
+		f.store.mu.Lock()
+		f.reads, f.checks = 0, 0
+		f.store.mu.Unlock()
+		time.Sleep(30 * time.Second)
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		// One daemon reads each 1.75 s (0.45 of the bound and the answer); a second one now and then.
+		if f.reads > 36 || f.checks > 10 {
+			t.Errorf("%d reads of the list and %d checks in 30 s", f.reads, f.checks)
+		}
+	})
+}
+
 // TestFindings guards against findings that leave their availability zone or do not reach it.
 func TestFindings(t *testing.T) {
 	run(t, 3, threeZones, func(f *fleet) {
--- a/internal/direct/follower/listing.go
+++ b/internal/direct/follower/listing.go
@@ -37,6 +37,7 @@
 		self.set(f, true)
 		snapshot, err := f.c.Source.Read(ctx, read)
 		f.called(callListing, err)
+		f.took(time.Since(started), err)
 		if err != nil {
 			f.c.Logger.Debug("platform not read", zap.Error(err))
 			f.retry(ctx, backoff)
@@ -48,10 +49,13 @@
 		steps, outcome := f.servers.Replace(started, snapshot.Listing)
 		f.apply(outcome)
 		changed := false
-		if outcome != lister.Outdated && snapshot.ConfigurationRevision > 0 {
+		if outcome != lister.Outdated {
+			f.configAt = max(f.configAt, snapshot.Listing.Revision)
+			f.configAbsent = snapshot.ConfigurationRevision == 0
+		}
+		if outcome != lister.Outdated && !f.configAbsent {
 			// An unchanged revision confirms the configuration in force.
 			f.configRead = snapshot.ConfigurationRevision
-			f.configAt = max(f.configAt, snapshot.Listing.Revision)
 			changed = f.adopt(snapshot.Configuration, started)
 		}
 		f.unlock()
--- a/services/pacer/pacer.go
+++ b/services/pacer/pacer.go
@@ -24,14 +24,18 @@
 )
 
 // Pacer holds the bound on the age of one belief.
-type Pacer struct{ Bound time.Duration }
+type Pacer struct {
+	Bound time.Duration
+	// Answer is how long a read takes: the next daemon in the order waits for the answer to the one before.
+	Answer time.Duration
+}
 
 // Rank is a daemon's place in the order of reading.
 type Rank struct{ Zone, Member int }
 
 // Due returns when to read a belief that was right at asOf.
 func (p Pacer) Due(asOf time.Time, r Rank) time.Time {
-	wait := time.Duration(float64(p.Bound)*period) + time.Duration(r.Zone)*zoneStep + time.Duration(r.Member)*memberStep
+	wait := time.Duration(float64(p.Bound)*period) + time.Duration(r.Zone)*(zoneStep+p.Answer) + time.Duration(r.Member)*(memberStep+p.Answer)
 	return asOf.Add(min(wait, time.Duration(float64(p.Bound)*limit)))
 }
 
--- a/services/pacer/pacer_test.go
+++ b/services/pacer/pacer_test.go
@@ -22,6 +22,18 @@
 	// 2.48s
 }
 
+// TestSlowAnswer guards against a second daemon that reads because the first one's answer takes long.
+func TestSlowAnswer(t *testing.T) {
+	read := time.Unix(0, 0)
+	p := pacer.Pacer{Bound: 6 * time.Second, Answer: 400 * time.Millisecond}
+	first := p.Due(read, pacer.Rank{})
+	for _, r := range []pacer.Rank{{Member: 1}, {Zone: 1}} {
+		if gap := p.Due(read, r).Sub(first); gap < 500*time.Millisecond {
+			t.Errorf("%+v reads %s after the first daemon, whose answer takes 400 ms", r, gap)
+		}
+	}
+}
+
 // TestBound guards against a daemon that hears nothing and reads too late: a call and its repetition must fit the bound.
 func TestBound(t *testing.T) {
 	for _, bound := range []time.Duration{3 * time.Second, 5 * time.Second, time.Minute} {
