follower: a daemon that knows no other one does not watch yet

Change: for the first 3 s a daemon watches only if it knows another one of its zone; a read of the list brings a change meanwhile.

--- a/internal/direct/follower/configuration.go
+++ b/internal/direct/follower/configuration.go
@@ -16,6 +16,9 @@
 	watchers = 2
 	// watchPause is the time between two looks at whether this daemon is to watch.
 	watchPause = 500 * time.Millisecond
+	// aloneFor is how long a daemon that knows no other one of its zone does not watch: daemons that start together know each other
+	// after 1 to 2.2 s, and until then each would watch. A read of the list brings a change meanwhile.
+	aloneFor = 3 * time.Second
 	// absentPause is the time between two looks at whether there is a configuration. The operator writes the first one seconds before
 	// traffic starts; watchers hear of it.
 	absentPause = 500 * time.Millisecond
@@ -26,7 +29,6 @@
 
 // watchConfiguration waits for changes, so that a change is in force at once.
 func (f *Follower) watchConfiguration(ctx context.Context) {
-	sleep(ctx, watchPause, nil) // until the members are known, all would watch
 	backoff := f.newBackoff()
 	backoff.Min = retryMax // a change waits for it only if the watch of the other watcher fails too
 	watcher := reader{document: configurationDocument}
@@ -34,7 +36,8 @@
 		f.mu.Lock()
 		after := f.configAt
 		f.unlock()
-		watches := after != 0 && f.rank().Member < watchers
+		alone := len(f.c.Peers.Zone()) <= 1 && time.Since(f.ages.started) < aloneFor
+		watches := after != 0 && !alone && f.rank().Member < watchers
 		watcher.set(f, watches)
 		if !watches { // a read of the list brings the first one
 			sleep(ctx, watchPause, nil)
