lister: a step that overtakes waits for the one before

Cause: a change of more than 20 entries is told in steps. A step that arrived before the one it follows, but after the first one, counted as an old one: the list stayed unfinished and was not confirmed, and every daemon read the platform at the end of its wait. Change: while a change is unfinished only steps that were taken are old; others wait 30 ms for their base as before. TestOvertakingSteps fails without the change.

--- a/services/lister/lister.go
+++ b/services/lister/lister.go
@@ -46,6 +46,8 @@
 	revision uint64
 	digest   uint64
 	asOf     time.Time
+	// taken are the digests after the steps of an unfinished change, empty when the list is whole.
+	taken []uint64
 }
 
 // New returns a Lister without a list.
@@ -90,6 +92,7 @@
 	}
 	slices.Sort(d.Removed)
 	first := !l.Known()
+	l.taken = nil
 	steps := l.steps(&d)
 	l.confirm(asOf, listing.Revision)
 	if first || len(d.Changed)+len(d.Removed) > 0 {
@@ -134,10 +137,13 @@
 	case l.Known() && d.Revision < l.revision:
 		return Outdated
 	case l.Known() && d.Digest == l.digest:
+		if !d.More {
+			l.taken = nil
+		}
 		l.confirm(d.asOf(asOf), d.Revision)
 		return Confirmed
-	case l.Known() && d.Base != l.digest && d.Revision == l.revision:
-		return Outdated // a step that was taken before, from another peer
+	case l.Known() && d.Base != l.digest && d.Revision == l.revision && l.past(d):
+		return Outdated
 	case !l.Known() || d.Base != l.digest:
 		return Foreign
 	}
@@ -148,9 +154,20 @@
 		return Foreign
 	}
 	l.confirm(d.asOf(asOf), d.Revision)
+	if d.More {
+		l.taken = append(l.taken, d.Digest)
+	} else {
+		l.taken = nil
+	}
 	return Changed
 }
 
+// past reports whether a step of the revision held was taken before, maybe from another peer. While a change is unfinished, a step that
+// was not taken has overtaken the one before it.
+func (l *Lister) past(d *Delta) bool {
+	return len(l.taken) == 0 || slices.Contains(l.taken, d.Digest)
+}
+
 // asOf returns the time at which the list was right after the step, the zero time when further steps follow.
 func (d *Delta) asOf(t time.Time) time.Time {
 	if d.More {
--- a/services/lister/lister_test.go
+++ b/services/lister/lister_test.go
@@ -150,3 +150,34 @@
 		}
 	}
 }
+
+// TestOvertakingSteps guards against a step that arrives before the one it follows and is taken for an old one: the list stayed unfinished,
+// and every daemon of a zone read the platform (isbc-grid-large, second -10: 400 reads).
+func TestOvertakingSteps(t *testing.T) {
+	reader, follower := lister.New(), lister.New()
+	reader.Replace(start, &directory.Listing{Revision: 1})
+	follower.Replace(start, &directory.Listing{Revision: 1})
+	var all []directory.BackendServer
+	for id := range uint64(5 * lister.MaxStep) {
+		all = append(all, server(id+1))
+	}
+	steps, _ := reader.Replace(start.Add(time.Second), &directory.Listing{Revision: 2, Servers: all})
+	later := start.Add(time.Second)
+	for _, arrival := range []struct {
+		step int
+		want lister.Outcome
+	}{
+		{0, lister.Changed}, {2, lister.Foreign}, {1, lister.Changed}, {0, lister.Outdated}, {2, lister.Changed}, {4, lister.Foreign},
+		{1, lister.Outdated}, {3, lister.Changed}, {4, lister.Changed},
+	} {
+		if got := follower.Apply(later, &steps[arrival.step]); got != arrival.want {
+			t.Errorf("step %d: outcome %d, want %d", arrival.step, got, arrival.want)
+		}
+	}
+	if follower.Digest() != reader.Digest() || !follower.AsOf().Equal(later) {
+		t.Errorf("digest %x as of %s, want %x", follower.Digest(), follower.AsOf(), reader.Digest())
+	}
+	if got := follower.Apply(later, &steps[1]); got != lister.Outdated {
+		t.Errorf("a repeated step of a finished change: outcome %d", got)
+	}
+}
