follower: news of a large configuration does not make a daemon that starts call twice

Peers tell of a configuration that is too large for datagrams, and a daemon that starts asked the platform for it while its read of the list, which brings it, was on its way. Change: what peers tell of a configuration leads to a call only once the list is known.

--- a/internal/direct/follower/configuration.go
+++ b/internal/direct/follower/configuration.go
@@ -103,7 +103,8 @@
 	defer f.unlock()
 	now := time.Now()
 	known := f.configuration != nil
-	if newer := !known && f.wanted > 0 || known && f.wanted > f.configuration.Version; newer {
+	newer := !known && f.wanted > 0 && f.servers.Known() || known && f.wanted > f.configuration.Version
+	if newer {
 		if wait := f.wantedAt.Add(wantedWait).Sub(now); wait > 0 {
 			return f.configAt, wait
 		}
--- a/internal/direct/follower/follower_test.go
+++ b/internal/direct/follower/follower_test.go
@@ -485,6 +485,42 @@
 	})
 }
 
+// TestStartCalls guards against two calls of a daemon that starts while its peers tell it of a large configuration: the read of the list
+// that is on its way brings it (isbc-grid-large trouble-3, second 42: 351 reads and 348 checks).
+func TestStartCalls(t *testing.T) {
+	run(t, 10, threeZones, func(f *fleet) {
+		f.change(func() { f.version, f.routes = 5, 2*largeConfiguration })
+		time.Sleep(2 * bound)
+		f.store.mu.Lock()
+		f.checks, f.takes = 0, 200*time.Millisecond
+		f.store.mu.Unlock()
+		d := &daemon{fleet: f, view: f.daemons[0].view, zone: threeZones[0], address: netip.MustParseAddrPort("10.0.0.99:7400")}
+		c := f.daemons[0].c
+		c.Sink, c.Peers = d, d
+		fresh := New(c)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		d.Follower = fresh
+		f.daemons = append(f.daemons, d)
+		d.setCut(true) // its peers do not know it yet
+		group, ctx := errgroup.WithContext(ctx)
+		group.Go(func() error { return fresh.Run(ctx) })
+		time.Sleep(50 * time.Millisecond)
+		d.setCut(false)
+		f.daemons[1].announce(nil)
+		time.Sleep(time.Second)
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		if f.checks > 0 {
+			t.Errorf("%d checks of the configuration", f.checks)
+		}
+	})
+}
+
 // TestLostRelay guards against daemons that stay behind when one that passes news on has died.
 func TestLostRelay(t *testing.T) {
 	run(t, 60, threeZones, func(f *fleet) {
