steerer: late copies of opening packets wait until backend servers have room

Cause: after an outage the copies that callers sent meanwhile arrive with fresh requests, and backend servers answer in order of arrival. Change: a copy that is late by the target of its route is dropped while this daemon's share of the slots is taken; the caller's next copy or try asks again. Requests in progress are counted by the time when they were sent. A restarted backend server keeps the count of opening packets that are settled later (it went below zero). make replay: open arrivals, a case outage-fresh; its callers now number the first request after the opening packet and close a flow that was rejected.

--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -150,6 +150,7 @@
 	})
 	p.Subscribe(f)
 	t.OnFindings(f.Report)
+	t.OnDaemons(func() int { return len(p.Zone()) })
 	records.OnAges(func() recorder.Ages {
 		configuration, listing := f.Ages()
 		return recorder.Ages{Configuration: configuration, Listing: listing}
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -71,6 +71,7 @@
 	arrivals [views]bool
 	ready    chan struct{}
 	findings func([]steerer.Finding)
+	daemons  func() int
 	refresh  func()
 	ticked   time.Time // when the process was last seen running
 	unknown  time.Time // when a packet with an unknown tag last caused a read of the list
@@ -161,6 +162,9 @@
 // OnFindings sets what takes the findings of this daemon. It is called before Run.
 func (t *Transporter) OnFindings(take func([]steerer.Finding)) { t.findings = take }
 
+// OnDaemons sets what tells how many daemons of the availability zone share its callers. It is called before Run.
+func (t *Transporter) OnDaemons(count func() int) { t.daemons = count }
+
 func (t *Transporter) arrived(view int) {
 	t.arrivals[view] = true
 	select {
@@ -209,8 +213,13 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		daemons := 1
+		if t.daemons != nil {
+			daemons = t.daemons()
+		}
 		t.mu.Lock()
 		t.tick(now)
+		t.c.Steerer.SetDaemons(daemons)
 		findings := t.c.Steerer.TakeFindings(now)
 		resets := t.c.Steerer.TakeResets(now)
 		t.c.Recorder.Findings(recorder.OwnFinding, findings)
--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -27,6 +27,7 @@
 	sequence uint32    // of the newest packet with data, or of the opening packet
 	received uint32    // what the caller has acknowledged
 	began    time.Time // when this daemon saw it first
+	awaits   time.Time // when the opening packet was sent whose answer is awaited; zero when none is
 	placed   time.Time // when the newest copy of the packet with sequence was sent
 	seen     time.Time
 	asked    time.Time // when the newest request was first sent; zero if an earlier copy may have been lost on its way here
@@ -34,9 +35,10 @@
 	repeats  int       // of the newest packet with data
 	opening  bool
 	closing  bool
-	counted  bool // among the open flows of its server
-	struck   bool // counted among the repeating flows of its server
-	waiting  bool // a request was sent and no answer was seen
+	counted  bool      // among the open flows of its server
+	struck   bool      // counted among the repeating flows of its server
+	waiting  bool      // a request was sent and no answer was seen
+	sent     time.Time // when that request was first seen
 }
 
 func (s *Steerer) begin(now time.Time, key flowKey, p *editor.Packet, target *server) {
@@ -56,6 +58,7 @@
 // open is an opening packet whose answer is awaited.
 type open struct {
 	key    flowKey
+	flow   *flow
 	server *server
 	sent   time.Time
 }
@@ -63,7 +66,9 @@
 // awaitOpen counts the opening packet until it is answered or late.
 func (s *Steerer) awaitOpen(now time.Time, key flowKey, f *flow) {
 	f.server.opening++
-	s.opens = append(s.opens, open{key, f.server, now})
+	f.server.unopened++
+	f.awaits = now
+	s.opens = append(s.opens, open{key, f, f.server, now})
 }
 
 // settleOpens ends the wait for answers to opening packets that are late.
@@ -73,6 +78,10 @@
 		o := &s.opens[n]
 		n++
 		o.server.opening--
+		if o.flow.awaits == o.sent { // neither answered nor sent to another backend server
+			o.server.unopened--
+			o.flow.awaits = time.Time{}
+		}
 		if f, ok := s.flows[o.key]; ok && f.opening && f.server == o.server {
 			o.server.unanswered(now, f)
 		}
@@ -82,6 +91,21 @@
 	}
 }
 
+// await counts a request that was sent on the flow.
+func (f *flow) await(now time.Time) {
+	f.waiting, f.sent = true, now
+	f.server.load.sent(now)
+	f.server.began(now)
+}
+
+// awaitNoLonger ends the wait for the answer to the opening packet.
+func (f *flow) awaitNoLonger() {
+	if !f.awaits.IsZero() {
+		f.server.unopened--
+		f.awaits = time.Time{}
+	}
+}
+
 // count counts the flow among the open flows of its server, or no longer.
 func (f *flow) count(open bool) {
 	if f.counted == open {
@@ -97,6 +121,7 @@
 
 func (s *Steerer) forget(key flowKey) {
 	if f, ok := s.flows[key]; ok {
+		f.awaitNoLonger()
 		f.count(false)
 		delete(s.flows, key)
 	}
@@ -117,8 +142,7 @@
 		}
 		f.received = p.Acknowledged
 		if p.DataLength > 0 {
-			f.waiting = true
-			target.sent(now)
+			f.await(now)
 		}
 	}
 	f.seen = now
@@ -142,10 +166,12 @@
 	case f.opening, int32(p.Acknowledged-f.received) > 0:
 		f.received = p.Acknowledged
 		f.server.answer(now, f)
+		f.awaitNoLonger()
 		f.opening = false
 		if f.waiting {
 			f.waiting = false
 			f.server.done(now)
+			f.server.ended(now, f.sent)
 		}
 	case p.DataLength > 0 && p.Sequence == f.sequence && now.Sub(f.placed) >= repeatSpacing:
 		f.placed = now
@@ -156,8 +182,7 @@
 	if p.DataLength > 0 && int32(p.Sequence-f.sequence) > 0 {
 		f.sequence, f.placed, f.asked, f.repeats = p.Sequence, now, now, 0
 		if !f.waiting {
-			f.waiting = true
-			f.server.sent(now)
+			f.await(now)
 		}
 	}
 	return opened, copies
--- a/services/steerer/health.go
+++ b/services/steerer/health.go
@@ -54,7 +54,8 @@
 	stalled    int           // open flows among those
 	since      time.Time     // first repetition since the last answer
 	newest     time.Time     // newest repetition
-	opening    int           // opening packets that were sent and not yet answered, within roundTrip.late
+	opening    int           // opening packets that were sent within roundTrip.late
+	unopened   int           // those among them without an answer
 	refused    int           // opening packets without an answer since the last one that got one
 	abandoned  int           // requests that callers gave up, each within abandonMemory of the one before
 	abandonAt  time.Time     // the newest of them
--- a/services/steerer/load.go
+++ b/services/steerer/load.go
@@ -51,3 +51,50 @@
 	l.advance(now)
 	return l.current + l.previous
 }
+
+// progressBuckets is for how many times loadBucket a request without a visible answer counts as in progress: a full queue of ten requests
+// for two slots takes 0.2 s, and 0.4 s when the backend server has just started.
+const progressBuckets = 4
+
+// progress counts the requests in progress at a backend server. Unlike load it ends each one by the time when it was sent, so that it
+// holds while answers take longer than requests keep coming; placement needs no more than load.
+type progress struct {
+	last   int64
+	counts [progressBuckets]int
+}
+
+// bucketOf returns the bucket of a time, after the buckets that are too old were emptied.
+func (p *progress) bucketOf(now, at time.Time) (*int, bool) {
+	current := now.UnixNano() / int64(loadBucket)
+	for ; p.last < current && current-p.last <= progressBuckets; p.last++ {
+		p.counts[(p.last+1)%progressBuckets] = 0
+	}
+	if p.last < current {
+		p.last, p.counts = current, [progressBuckets]int{}
+	}
+	b := at.UnixNano() / int64(loadBucket)
+	return &p.counts[b%progressBuckets], current-b < progressBuckets
+}
+
+// began counts a request.
+func (p *progress) began(now time.Time) {
+	count, _ := p.bucketOf(now, now)
+	*count++
+}
+
+// ended counts a request that was sent at the time no longer.
+func (p *progress) ended(now, sent time.Time) {
+	if count, ok := p.bucketOf(now, sent); ok && *count > 0 {
+		*count--
+	}
+}
+
+// inProgress returns the number of requests in progress.
+func (p *progress) inProgress(now time.Time) int {
+	p.bucketOf(now, now)
+	sum := 0
+	for _, n := range p.counts {
+		sum += n
+	}
+	return sum
+}
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -46,12 +46,13 @@
 	BackendServerSilent // the flow's backend server answers nobody
 	Paused              // the process was paused: new flows wait for a fresh view
 	NotReady            // no configuration has arrived yet
+	Deferred            // a late copy of an opening packet waits until backend servers have room
 	causes
 )
 
 var causeNames = [causes]string{
 	"none", "established", "placed", "copied", "moved", "no-route", "route-removed", "no-backend-server", "unknown-tag",
-	"backend-server-gone", "backend-server-silent", "paused", "not-ready",
+	"backend-server-gone", "backend-server-silent", "paused", "not-ready", "deferred",
 }
 
 // String returns the name of the cause as logs and metrics spell it.
@@ -113,6 +114,7 @@
 	tags      *tagger.Table
 	flows     map[flowKey]*flow
 	opens     []open                // in the order in which they were sent
+	daemons   int                   // of the own availability zone
 	zones     int                   // availability zones with backend servers
 	zoneSet   []string              // scratch of loadAbroad
 	roundTrip roundTrip             // with all backend servers
@@ -125,7 +127,7 @@
 	s := &Steerer{
 		c: c, ways: map[string]*roundTrip{}, routes: map[netip.AddrPort]*route{}, removed: map[netip.AddrPort]time.Time{},
 		servers: map[directory.ServerID]*server{}, tags: tagger.New(nil), flows: map[flowKey]*flow{},
-		idleTimeout: defaultIdleTimeout,
+		idleTimeout: defaultIdleTimeout, daemons: 1,
 	}
 	s.near = s.wayTo(c.AvailabilityZone)
 	return s
@@ -200,6 +202,9 @@
 // open decides about an opening packet.
 func (s *Steerer) open(now time.Time, p *editor.Packet, r *route) Decision {
 	key := flowKey{p.Source, p.Destination}
+	if s.deferred(now, p, r) {
+		return Decision{Cause: Deferred}
+	}
 	f, known := s.flows[key]
 	if known && f.opening && f.sequence == p.Sequence {
 		return s.repeat(now, key, f, r)
@@ -231,6 +236,7 @@
 		f.placed = now
 		return s.send(f.server, key.service, Copied, Choice{})
 	}
+	f.awaitNoLonger()
 	f.count(false)
 	f.server, f.placed, f.seen = target, now, now
 	f.count(true)
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -38,6 +38,7 @@
 	health
 	reports
 	load
+	progress
 }
 
 func (b *server) goneFor(now time.Time) time.Duration {
@@ -86,7 +87,9 @@
 		case known == nil:
 			s.servers[entry.ID] = &server{BackendServer: entry, health: health{ignore: s.c.IgnoreFlows}}
 		case known.Incarnation != entry.Incarnation || known.Address != entry.Address:
-			known.BackendServer, known.gone, known.health, known.reports, known.load = entry, time.Time{}, health{ignore: s.c.IgnoreFlows}, reports{}, load{}
+			// The opening packets that were sent are settled as before.
+			known.health = health{ignore: s.c.IgnoreFlows, opening: known.opening, unopened: known.unopened}
+			known.BackendServer, known.gone, known.reports, known.load, known.progress = entry, time.Time{}, reports{}, load{}, progress{}
 		default:
 			known.BackendServer, known.gone = entry, time.Time{}
 		}
--- a/tests/replay/caller.go
+++ b/tests/replay/caller.go
@@ -58,7 +58,27 @@
 	}
 }
 
+// close ends a flow whose request was answered.
+func (m *model) close(zone int, f *flow) {
+	f.packet.Flags, f.packet.DataLength = editor.Flags{ACK: true, FIN: true}, 0
+	if p := m.daemon(zone, &f.packet); p != nil {
+		p.Steer(m.now, &f.packet)
+	}
+}
+
+// arrivals sends a request and waits for the next one.
+func (m *model) arrivals(zone int) {
+	m.next(zone, nil)
+	m.after(time.Duration(m.random.ExpFloat64()/float64(m.rate)*float64(time.Second)), func() { m.arrivals(zone) })
+}
+
 func (m *model) pauseThen(zone int, f *flow) {
+	if m.rate > 0 {
+		if f != nil {
+			m.close(zone, f)
+		}
+		return
+	}
 	if m.fresh > 0 && m.random.Float64() < m.fresh {
 		f = nil
 	}
@@ -96,6 +116,9 @@
 				return
 			}
 			d := p.Steer(m.now, &f.packet)
+			if d.Cause == steerer.Deferred {
+				return
+			}
 			if d.Action != steerer.Forward {
 				opened = true
 				m.retry(r)
@@ -111,6 +134,7 @@
 				opened = true
 				f.server, f.packet.Tag = s, d.Tag
 				f.packet.Flags, f.packet.Acknowledged = editor.Flags{ACK: true}, 1000
+				f.packet.Sequence++ // the opening packet takes a number
 				m.after(2*hop, func() { m.send(r, f, firstCopy) })
 			}
 		})
@@ -197,7 +221,11 @@
 	default:
 		f.accepted = false
 		m.result.shed++
-		m.after(hop, func() { m.retry(r) })
+		m.after(hop, func() {
+			f.packet.Acknowledged += 100 // the rejection
+			m.close(r.zone, f)
+			m.retry(r)
+		})
 	}
 }
 
--- a/tests/replay/main.go
+++ b/tests/replay/main.go
@@ -40,6 +40,8 @@
 		work: 15 * time.Millisecond, deadline: 1500 * time.Millisecond, aim: 400 * time.Millisecond, backends: []int{5, 5, 4}, length: 30 * time.Second, mute: 3, crashAt: 5 * time.Second},
 	{name: "dark-benammar", shown: "benammar-lb trouble-2, second 24: window at 0.88", users: 90, pause: 700 * time.Millisecond, work: 15 * time.Millisecond,
 		deadline: 500 * time.Millisecond, aim: 120 * time.Millisecond, backends: []int{5, 5, 4}, length: 30 * time.Second, crash: 4, crashAt: 10 * time.Second},
+	{name: "outage-fresh", shown: "etxeberria-telar scale-2, second 41: windows at 0.58 and 0.41", rate: 147, work: 32 * time.Millisecond,
+		deadline: 2500 * time.Millisecond, aim: 150 * time.Millisecond, backends: []int{5, 5, 4}, length: 20 * time.Second, outageAt: 10 * time.Second, outage: 1900 * time.Millisecond},
 	{name: "dark-large", shown: "isbc-grid-large trouble-3, second 6: 120 of 480 dark, 386 requests of 8 s late", users: 810, pause: 1600 * time.Millisecond, work: 24 * time.Millisecond,
 		deadline: 3 * time.Second, aim: 400 * time.Millisecond, backends: []int{96}, daemons: 60, fresh: 0.1, length: 20 * time.Second, crash: 24, crashAt: 10 * time.Second},
 	{name: "dark-grown", shown: "benammar-lb-grown inc-35ab: 183 requests failed in 4 s", users: 270, pause: 700 * time.Millisecond, work: 17 * time.Millisecond,
--- a/tests/replay/model.go
+++ b/tests/replay/model.go
@@ -36,6 +36,7 @@
 type policy interface {
 	Steer(now time.Time, p *editor.Packet) steerer.Decision
 	SetConfiguration(now time.Time, c *directory.Configuration)
+	SetDaemons(n int)
 	SetListing(now time.Time, l *directory.Listing)
 	Sweep(now time.Time)
 	TakeResets(now time.Time) []steerer.LostFlow
@@ -47,6 +48,7 @@
 type load struct {
 	name, shown       string // what a day showed
 	users             int    // in each zone, with one request at a time
+	rate              int    // requests a second in each zone that come whether others are answered or not, a flow each
 	pause, work       time.Duration
 	deadline, aim     time.Duration
 	backends          []int   // in each zone
@@ -153,6 +155,9 @@
 	}
 	m.start()
 	for z := range l.backends {
+		if l.rate > 0 {
+			m.after(0, func() { m.arrivals(z) })
+		}
 		for range l.users {
 			m.after(time.Duration(m.random.Int64N(int64(l.pause))), func() { m.user(z) })
 		}
@@ -181,7 +186,8 @@
 		var zone []policy
 		for range m.load.daemons {
 			p := m.make(z, rand.New(rand.NewPCG(m.random.Uint64(), 1)))
-			p.SetConfiguration(m.now, &directory.Configuration{Version: 1, Routes: []directory.Route{{Address: service, Shares: []directory.Share{{Service: "s", Weight: 1}}}}})
+			p.SetConfiguration(m.now, &directory.Configuration{Version: 1, Routes: []directory.Route{{Address: service, Target: m.aim, Shares: []directory.Share{{Service: "s", Weight: 1}}}}})
+			p.SetDaemons(m.load.daemons)
 			zone = append(zone, p)
 		}
 		m.daemons = append(m.daemons, zone)
