follower: a daemon that starts takes no documents older than their bound while it can read

A daemon that starts asks its peers first; one that was cut off for long answers too, and its list and configuration were in force until the daemon's own read was done: a backend server that had left and a route that was replaced were in use again (1 s in the test, up to 1.5 s while the platform is slow). Change: documents older than their bound are left until a read of the platform has failed.

--- a/internal/direct/follower/configuration.go
+++ b/internal/direct/follower/configuration.go
@@ -72,7 +72,10 @@
 	backoff := f.newBackoff()
 	f.join(ctx, configurationDocument, func() bool { return f.configuration != nil })
 	for ctx.Err() == nil {
-		at, wait := f.nextCheck()
+		at, known, wait := f.nextCheck()
+		if !known {
+			f.ask(configurationDocument)
+		}
 		if wait > 0 {
 			sleep(ctx, wait, f.configReads)
 			continue
@@ -97,28 +100,25 @@
 	}
 }
 
-// nextCheck returns the revision after which the configuration is read, and how long to wait before that.
-func (f *Follower) nextCheck() (at uint64, wait time.Duration) {
+// nextCheck returns the revision after which the configuration is read, whether one is known, and how long to wait before the read.
+func (f *Follower) nextCheck() (at uint64, known bool, wait time.Duration) {
 	f.mu.Lock()
 	defer f.unlock()
 	now := time.Now()
-	known := f.configuration != nil
+	known = f.configuration != nil
 	newer := !known && f.wanted > 0 && f.servers.Known() || known && f.wanted > f.configuration.Version
 	if newer {
-		if wait := f.wantedAt.Add(wantedWait).Sub(now); wait > 0 {
-			return f.configAt, wait
-		}
-		return f.configAt, 0
+		return f.configAt, known, max(f.wantedAt.Add(wantedWait).Sub(now), 0)
 	}
 	switch {
 	case !known && (f.configAbsent || !f.servers.Known()):
-		return 0, absentPause // the next read of the list tells, or a watch
+		return 0, known, absentPause // the next read of the list tells, or a watch
 	case f.calls.lost[callListing].Load():
-		return f.configAt, retryMax // what fails for the list would fail for the configuration
+		return f.configAt, known, retryMax // what fails for the list would fail for the configuration
 	case !known:
-		return 0, 0
+		return 0, known, 0
 	}
-	return f.configAt, f.configPace.Due(f.configAsOf, f.rank()).Add(checkDelay + f.configPace.Answer).Sub(now)
+	return f.configAt, known, f.configPace.Due(f.configAsOf, f.rank()).Add(checkDelay + f.configPace.Answer).Sub(now)
 }
 
 func (f *Follower) check(ctx context.Context, after uint64) (*directory.Configuration, uint64, error) {
--- a/internal/direct/follower/exchange.go
+++ b/internal/direct/follower/exchange.go
@@ -382,6 +382,9 @@
 			f.c.Logger.Warn("list of a peer not understood: check that all daemons run compatible versions", zap.Error(err))
 			return
 		}
+		if f.stale(listingDocument, asOf) {
+			return
+		}
 		l.Revision = p.revision
 		_, outcome := f.servers.Replace(asOf, l)
 		f.apply(outcome)
@@ -391,8 +394,21 @@
 			f.c.Logger.Warn("configuration of a peer not understood: check that all daemons run compatible versions", zap.Error(err))
 			return
 		}
+		if f.stale(configurationDocument, asOf) {
+			return
+		}
 		c.Version = p.identity
 		f.configAt = max(f.configAt, p.revision)
 		f.adopt(c, asOf)
 	}
 }
+
+// stale reports whether a document of a peer is too old to start with: a peer that was cut off still believes in backend servers that
+// have left and in routes that were removed. A daemon that cannot read the platform takes it all the same. The caller holds mu.
+func (f *Follower) stale(d document, asOf time.Time) bool {
+	known, bound := f.servers.Known(), f.c.Bounds.Leaving
+	if d == configurationDocument {
+		known, bound = f.configuration != nil, f.c.Bounds.Configuration
+	}
+	return !known && time.Since(asOf) > bound && !f.calls.lost[callListing].Load()
+}
--- a/internal/direct/follower/follower_test.go
+++ b/internal/direct/follower/follower_test.go
@@ -521,6 +521,47 @@
 	})
 }
 
+// TestStalePeer guards against a daemon that starts, hears first of a peer that was cut off, and uses a backend server that has left and
+// a configuration that was replaced until its own read is done. While it can't read the platform, what the peer has is better than nothing.
+func TestStalePeer(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		run(t, 1, threeZones[:1], func(f *fleet) {
+			peer := f.daemons[0]
+			peer.view.refuse(true)
+			f.change(func() { f.version, f.servers = 8, f.servers[:1] })
+			time.Sleep(10 * bound)
+			f.store.mu.Lock()
+			f.takes = time.Second
+			f.store.mu.Unlock()
+			d := &daemon{fleet: f, view: &view{store: f.store, refused: refused}, zone: peer.zone, address: netip.MustParseAddrPort("10.0.0.99:7400")}
+			c := peer.c
+			c.Source, c.Sink, c.Peers = d.view, d, d
+			d.Follower = New(c)
+			f.daemons = append(f.daemons, d)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			group, ctx := errgroup.WithContext(ctx)
+			group.Go(func() error { return d.Run(ctx) })
+			time.Sleep(500 * time.Millisecond)
+			if v, n := d.state(); v != 0 || n != 0 {
+				t.Errorf("refused %t: version %d and %d backend servers of the stale peer are in force", refused, v, n)
+			}
+			time.Sleep(4 * time.Second)
+			wantVersion, wantServers := uint64(8), 1
+			if refused {
+				wantVersion, wantServers = 1, 2
+			}
+			if v, n := d.state(); v != wantVersion || n != wantServers {
+				t.Errorf("refused %t: version %d and %d backend servers in force, want %d and %d", refused, v, n, wantVersion, wantServers)
+			}
+			cancel()
+			if err := group.Wait(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // TestLostRelay guards against daemons that stay behind when one that passes news on has died.
 func TestLostRelay(t *testing.T) {
 	run(t, 60, threeZones, func(f *fleet) {
