sleeper: a VM that was suspended ages what it believes

Ages of the list and the configuration are of the steady clock, which stands still while a VM is suspended, and so is the pause that makes a daemon distrust its list: a woken VM placed new flows by a list that was older than it looked, and told it to daemons that started. Change: the time suspended is the difference of two clocks, looked at each 100 ms. What a daemon believes becomes older by it, new flows wait for a fresh list as after a pause, and the platform is read. TestSuspendedPeer, TestWake, TestPauseBetweenClocks.

--- a/internal/direct/follower/follower.go
+++ b/internal/direct/follower/follower.go
@@ -146,6 +146,20 @@
 	return err
 }
 
+// Slept makes what this daemon believes older by the time that its VM was suspended, in which the clock stood still, and asks for a read.
+// Peers that ask meanwhile are told the true age.
+func (f *Follower) Slept(d time.Duration) {
+	f.mu.Lock()
+	f.servers.Age(d)
+	if !f.configAsOf.IsZero() {
+		f.configAsOf = f.configAsOf.Add(-d)
+	}
+	f.unlock()
+	f.c.Logger.Info("VM was suspended", zap.Duration("for", d))
+	signal(f.listingReads)
+	signal(f.configReads)
+}
+
 // rank returns this daemon's place in the order of reading.
 func (f *Follower) rank() pacer.Rank {
 	return pacer.Rank{Zone: f.zoneRank, Member: pacer.RankMember(f.c.AvailabilityZone, f.c.Peers.Address(), f.c.Peers.Zone())}
--- a/internal/direct/follower/follower_test.go
+++ b/internal/direct/follower/follower_test.go
@@ -562,6 +562,27 @@
 	}
 }
 
+// TestSuspendedPeer guards against a VM that was suspended, tells its list with the age that its clock shows, and makes a daemon that
+// starts believe in it.
+func TestSuspendedPeer(t *testing.T) {
+	run(t, 2, threeZones[:1], func(f *fleet) {
+		for _, d := range f.daemons {
+			d.view.refuse(true)
+		}
+		time.Sleep(bound / 2)
+		configuration, listing := f.daemons[0].Ages()
+		f.daemons[0].Slept(10 * time.Second)
+		if c, l := f.daemons[0].Ages(); c < configuration+10*time.Second || l < listing+10*time.Second {
+			t.Errorf("ages %s and %s after 10 s of sleep, before %s and %s", c, l, configuration, listing)
+		}
+		f.daemons[0].view.refuse(false)
+		time.Sleep(time.Second)
+		if c, l := f.daemons[0].Ages(); c > bound || l > bound {
+			t.Errorf("ages %s and %s a second after the platform was back", c, l)
+		}
+	})
+}
+
 // TestLostRelay guards against daemons that stay behind when one that passes news on has died.
 func TestLostRelay(t *testing.T) {
 	run(t, 60, threeZones, func(f *fleet) {
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -27,6 +27,7 @@
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
 	"github.com/bluebelldyke/bluebelldyke/modules/exposer"
+	"github.com/bluebelldyke/bluebelldyke/modules/sleeper"
 	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
 	"github.com/bluebelldyke/bluebelldyke/routers/peers"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
@@ -128,7 +129,7 @@
 ) (*transporter.Transporter, error) {
 	t := transporter.New(transporter.Config{
 		Entry: entry, Layout: layout, Steerer: steerer.New(steerer.Config{AvailabilityZone: s.AvailabilityZone, Random: random}),
-		Recorder: records,
+		Recorder: records, Sleeper: sleeper.New(sleeper.Suspended),
 	})
 	return t, t.Register(meter)
 }
@@ -156,6 +157,7 @@
 		return recorder.Ages{Configuration: configuration, Listing: listing}
 	})
 	t.OnStale(f.ReadListing)
+	t.OnSleep(f.Slept)
 	return f, f.Register(meter)
 }
 
--- a/internal/direct/transporter/stale_test.go
+++ b/internal/direct/transporter/stale_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebelldyke/bluebelldyke/modules/sleeper"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
 
@@ -49,3 +50,20 @@
 		t.Errorf("1,000 packets in 10 s asked %d times", asked)
 	}
 }
+
+// TestWake guards against a VM that was suspended and goes on with its old list: its clock shows no pause.
+func TestWake(t *testing.T) {
+	var suspended, told time.Duration
+	x := &Transporter{c: Config{Sleeper: sleeper.New(func() time.Duration { return suspended })}}
+	x.OnSleep(func(d time.Duration) { told += d })
+	x.wake()
+	if told != 0 || !x.distrust.IsZero() {
+		t.Fatalf("a VM that was not suspended slept %s", told)
+	}
+	suspended = 5 * time.Second
+	x.wake()
+	x.wake()
+	if told != suspended || !time.Now().Before(x.distrust) {
+		t.Errorf("slept %s, distrusts until %s", told, x.distrust)
+	}
+}
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -16,6 +16,7 @@
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/recorder"
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+	"github.com/bluebelldyke/bluebelldyke/modules/sleeper"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
 
@@ -55,6 +56,8 @@
 	Steerer *steerer.Steerer
 	// Recorder writes the decisions.
 	Recorder *recorder.Recorder
+	// Sleeper notices that the VM was suspended; nil switches that off.
+	Sleeper *sleeper.Sleeper
 }
 
 // Transporter forwards packets.
@@ -72,6 +75,7 @@
 	ready    chan struct{}
 	findings func([]steerer.Finding)
 	daemons  func() int
+	onSleep  func(time.Duration)
 	refresh  func()
 	ticked   time.Time // when the process was last seen running
 	unknown  time.Time // when a packet with an unknown tag last caused a read of the list
@@ -162,6 +166,26 @@
 // OnFindings sets what takes the findings of this daemon. It is called before Run.
 func (t *Transporter) OnFindings(take func([]steerer.Finding)) { t.findings = take }
 
+// OnSleep sets what takes for how long the VM was suspended. It is called before Run.
+func (t *Transporter) OnSleep(take func(time.Duration)) { t.onSleep = take }
+
+// wake notices that the VM was suspended. New flows wait for a fresh list as after a pause, and ages are told to whoever keeps them.
+func (t *Transporter) wake() {
+	if t.c.Sleeper == nil {
+		return
+	}
+	slept := t.c.Sleeper.Slept()
+	if slept == 0 {
+		return
+	}
+	t.mu.Lock()
+	t.distrust = time.Now().Add(freshWait)
+	t.mu.Unlock()
+	if t.onSleep != nil {
+		t.onSleep(slept)
+	}
+}
+
 // OnDaemons sets what tells how many daemons of the availability zone share its callers. It is called before Run.
 func (t *Transporter) OnDaemons(count func() int) { t.daemons = count }
 
@@ -213,6 +237,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		t.wake()
 		daemons := 1
 		if t.daemons != nil {
 			daemons = t.daemons()
--- a/services/lister/lister.go
+++ b/services/lister/lister.go
@@ -59,6 +59,13 @@
 // AsOf returns a time at which the list was right, the zero time when there is none.
 func (l *Lister) AsOf() time.Time { return l.asOf }
 
+// Age makes the list older by d: the clock stood still meanwhile.
+func (l *Lister) Age(d time.Duration) {
+	if l.Known() {
+		l.asOf = l.asOf.Add(-d)
+	}
+}
+
 // Revision returns the platform's revision when the list was read.
 func (l *Lister) Revision() uint64 { return l.revision }
 
