--- a/services/steerer/admission_test.go
+++ b/services/steerer/admission_test.go
@@ -84,3 +84,15 @@
 	p.Acknowledged = 2
 	g.Expect(d.Steer(d.now, p).Cause).To(Equal(steerer.Placed))
 }
+
+// BenchmarkDeferred measures the decision about a late copy in a zone of 96 backend servers.
+func BenchmarkDeferred(b *testing.B) {
+	d := newDaemon(1, toOvensWithin(150*time.Millisecond), zone(96, 1, "ovenwatch", "souillac")...)
+	d.SetDaemons(60)
+	d.busy(6)
+	p := d.copyOf(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Steer(d.now, p)
+	}
+}
