--- a/internal/direct/follower/follower_test.go
+++ b/internal/direct/follower/follower_test.go
@@ -111,8 +111,8 @@
 	}
 }
 
-// TestSuspendedPeer guards against a VM that was suspended, tells its list with the age that its clock shows, and makes a daemon that
-// starts believe in it.
+// TestSuspendedPeer guards against a VM that was suspended and tells its list with the age that its clock shows, so that a daemon that
+// starts believes in it: what it tells, and when it reads, follow the true age.
 func TestSuspendedPeer(t *testing.T) {
 	run(t, 2, threeZones[:1], func(f *fleet) {
 		for _, d := range f.daemons {
