--- a/internal/direct/follower/calls_test.go
+++ b/internal/direct/follower/calls_test.go
@@ -81,14 +81,10 @@
 // TestOutage guards against reads that never come back after the platform was away, and against calls without pause.
 func TestOutage(t *testing.T) {
 	run(t, 3, threeZones, func(f *fleet) {
-		for _, d := range f.daemons {
-			d.view.refuse(true)
-		}
+		f.refuse(true)
 		time.Sleep(20 * time.Second)
 		f.change(func() { f.version, f.servers = 10, f.servers[:1] })
-		for _, d := range f.daemons {
-			d.view.refuse(false)
-		}
+		f.refuse(false)
 		time.Sleep(bound)
 		f.expect(t, 10, 1)
 	})
@@ -98,9 +94,7 @@
 // daemon that gets through tells the others (isbc-grid-large trouble-3, seconds 6 to 11).
 func TestOutageCalls(t *testing.T) {
 	run(t, 60, threeZones, func(f *fleet) {
-		for _, d := range f.daemons {
-			d.view.refuse(true)
-		}
+		f.refuse(true)
 		time.Sleep(6 * time.Second)
 		f.store.mu.Lock()
 		// A third of the 2,446 calls that these daemons made when each asked for both documents with short gaps.
@@ -109,9 +103,7 @@
 		}
 		f.store.mu.Unlock()
 		f.change(func() { f.version, f.servers = 10, f.servers[:1] })
-		for _, d := range f.daemons {
-			d.view.refuse(false)
-		}
+		f.refuse(false)
 		time.Sleep(bound)
 		f.expect(t, 10, 1)
 	})
--- a/internal/direct/follower/fleet_test.go
+++ b/internal/direct/follower/fleet_test.go
@@ -276,6 +276,13 @@
 	killed   sync.Map     // addresses of daemons that hear nothing, though the others still list them
 }
 
+// refuse makes the platform turn away all daemons, or none.
+func (f *fleet) refuse(refused bool) {
+	for _, d := range f.daemons {
+		d.view.refuse(refused)
+	}
+}
+
 // run runs a fleet in simulated time until the test function returns.
 func run(t *testing.T, perZone int, zones []string, test func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/direct/follower/follower_test.go
+++ b/internal/direct/follower/follower_test.go
@@ -115,9 +115,7 @@
 // starts believes in it: what it tells, and when it reads, follow the true age.
 func TestSuspendedPeer(t *testing.T) {
 	run(t, 2, threeZones[:1], func(f *fleet) {
-		for _, d := range f.daemons {
-			d.view.refuse(true)
-		}
+		f.refuse(true)
 		time.Sleep(bound / 2)
 		configuration, listing := f.daemons[0].Ages()
 		f.daemons[0].Slept(10 * time.Second)
