--- a/tests/integration/direct_test.go
+++ b/tests/integration/direct_test.go
@@ -17,6 +17,9 @@
 // removalGracePeriod is the time that a backend server must be absent from the backend list before its idle flows are reset.
 const removalGracePeriod = 2500 * time.Millisecond
 
+// lostRevisions is the number of changes that a restored store has lost: more than the backend servers write in a spec.
+const lostRevisions = 300
+
 // startDeployment starts a small deployment of daemons in direct server return mode and stops it at the end of the spec. It
 // fails the spec on any violation: a packet that is altered or reaches another service, a flow at a backend server that has
 // left, or a reset of an open flow while ForbidResets is set.
@@ -140,6 +143,31 @@
 			WithTimeout(deployment.ConfigurationBound).Should(BeNumerically(">", 0))
 	})
 
+	// Guards against a change that is not in force within its bound because the store was restored from an older copy and its
+	// revisions were given out again, and against daemons that read the store over and over until its revision passes the lost ones.
+	It("puts a change in force after the store was restored from an older copy", Label("known-red"), func() {
+		d := startDeployment()
+		d.ForbidResets.Store(false)
+		older := d.Store.Copy()
+		for range lostRevisions {
+			d.Store.Put("other/key", nil)
+		}
+		sleep(time.Second)
+		d.Store.SetFault(platformtest.Unavailable)
+		sleep(time.Second)
+		calls := sum(d.Store.CallCounts())
+		d.Store.Restore(older)
+		d.Store.SetFault(platformtest.NoFault)
+		d.PublishConfiguration(deployment.Routes()[:1]) // removes the route of recipecard
+		sleep(deployment.ConfigurationBound)
+		Expect(sum(d.Store.CallCounts())-calls).To(BeNumerically("<", 80), "calls of 4 daemons in 3 s")
+		before, _, _ := d.Callers[1].Outcomes()
+		sleep(time.Second)
+		after, _, _ := d.Callers[1].Outcomes()
+		Expect(after.Answered).To(Equal(before.Answered))
+		Expect(after.Unopened).To(BeNumerically(">", before.Unopened), "new flows are refused at once")
+	})
+
 	// Guards against SIGHUP ending the process, and against invalid settings that come into force.
 	It("reloads its settings on SIGHUP", func() {
 		d := startDeployment()
