direct/follower: count and log reads that are older than the list in force

Cause: neither logs nor metrics told whether a daemon reads often because reads fail, because they are refused as outdated, or because peers are silent.

Change: the counter direct.outdated-reads, and one warning with both revisions.

The revision that is given out again may equal the known one, so the change under it can be missed.

--- a/internal/direct/follower/backend_list.go
+++ b/internal/direct/follower/backend_list.go
@@ -52,6 +52,9 @@
 		f.mu.Lock()
 		deltas, outcome := f.backendList.Replace(started, snapshot.BackendList)
 		f.publishBackendList(outcome)
+		if outcome == lister.Outdated {
+			f.recordOutdated(snapshot.BackendList.Revision, f.backendList.Revision())
+		}
 		changed := false
 		if outcome != lister.Outdated {
 			f.configStoreRevision = max(f.configStoreRevision, snapshot.BackendList.Revision)
--- a/internal/direct/follower/calls.go
+++ b/internal/direct/follower/calls.go
@@ -30,6 +30,7 @@
 type callStats struct {
 	answered, failed [callKindCount]atomic.Uint64
 	unavailable      [callKindCount]atomic.Bool
+	outdated         atomic.Uint64 // reads of the backend list whose answer is older than the list in force
 }
 
 // recordCall counts a call and logs when calls of its kind start to fail or succeed again. An absent document and a lost history count
@@ -48,6 +49,13 @@
 	}
 }
 
+// recordOutdated counts a read whose answer is older than the backend list in force, and logs the first one.
+func (f *Follower) recordOutdated(revision, inForce uint64) {
+	if f.calls.outdated.Add(1) == 1 {
+		f.c.Logger.Warn("platform answered with an older revision than that of the backend list in force", zap.Uint64("revision", revision), zap.Uint64("in-force", inForce))
+	}
+}
+
 // logCallSummary logs the number of calls of this process by kind when it stops.
 func (f *Follower) logCallSummary() {
 	fields := make([]zap.Field, 0, 2*callKindCount)
@@ -73,6 +81,10 @@
 	if err != nil {
 		return eris.Wrap(err, "metric direct.platform-calls")
 	}
+	outdated, err := m.Int64ObservableCounter("bluebelldyke.direct.outdated-reads", metric.WithDescription("reads of the platform whose answer is older than the list in force"))
+	if err != nil {
+		return eris.Wrap(err, "metric direct.outdated-reads")
+	}
 	age, err := m.Float64ObservableGauge("bluebelldyke.direct.view-age", metric.WithUnit("s"), metric.WithDescription("age of the belief in the list and in the configuration"))
 	if err != nil {
 		return eris.Wrap(err, "metric direct.view-age")
@@ -83,10 +95,11 @@
 			o.ObserveInt64(count, int64(f.calls.answered[kind].Load()), metric.WithAttributes(name, attribute.String("outcome", "answered")))
 			o.ObserveInt64(count, int64(f.calls.failed[kind].Load()), metric.WithAttributes(name, attribute.String("outcome", "failed")))
 		}
+		o.ObserveInt64(outdated, int64(f.calls.outdated.Load()))
 		for d, name := range documentNames {
 			o.ObserveFloat64(age, f.ages.age(document(d)).Seconds(), metric.WithAttributes(attribute.String("view", name)))
 		}
 		return nil
-	}, count, age)
+	}, count, outdated, age)
 	return eris.Wrap(err, "metrics of the follower")
 }
