--- a/internal/direct/follower/fleet_test.go
+++ b/internal/direct/follower/fleet_test.go
@@ -331,9 +331,9 @@
 type fleet struct {
 	*fakePlatform
 	daemons         []*daemon
-	requests        atomic.Int64 // messages that request a whole document
+	requests        atomic.Int64                            // messages that request a whole document
 	transit         func() (delay time.Duration, lost bool) // of messages between daemons; nil: 4 ms
-	killedAddresses sync.Map     // of daemons that receive nothing, though the others still list them
+	killedAddresses sync.Map                                // of daemons that receive nothing, though the others still list them
 }
 
 // setRefused makes the platform refuse the calls of all daemons, or of none.
