steerer: entries of a restored store do not undo what the daemon has seen

What callers would see: after a restore of the store from an older copy, new flows at a backend server that was leaving, had left, or had started again at another address, until its entry expired or was written again.

Cause: a list replaced the known state of each entry, and an entry that was back counted as current. Same class as the revisions: the copy is an older state that arrives later.

Change: for restoreGrace (5 s: entries are written again within 2 s or expire after three heartbeats of up to 1.2 s) after the first list of an era, an entry that is behind what the daemon knows is not applied: an earlier incarnation, ready where the same process was leaving, or listed again though missing before the restore and not answering since. Then the list counts as it is. The first list of an era reaches the sink even if its content is the same.

Open: a daemon that starts within those seconds has seen nothing and uses the entries as the store lists them.

--- a/internal/direct/follower/backend_list.go
+++ b/internal/direct/follower/backend_list.go
@@ -98,9 +98,12 @@
 	sleep(ctx, wait, nil)
 }
 
-// publishBackendList passes the backend list to the sink if the outcome is that it changed. The caller holds mu.
+// publishBackendList passes the backend list to the sink if the outcome is that it changed, or if it is the first one of an era. The
+// caller holds mu.
 func (f *Follower) publishBackendList(outcome lister.Outcome) {
-	if outcome == lister.Changed {
+	era := f.backendList.Position().Era
+	if outcome == lister.Changed || outcome == lister.Confirmed && era != f.publishedEra {
+		f.publishedEra = era
 		f.c.Sink.SetBackendList(f.backendList.BackendList())
 	}
 }
--- a/internal/direct/follower/fleet_test.go
+++ b/internal/direct/follower/fleet_test.go
@@ -320,13 +320,6 @@
 	return version, d.servers
 }
 
-// wasInForce reports whether a version of the configuration has been in force.
-func (d *daemon) wasInForce(version uint64) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return slices.Contains(d.versions, version)
-}
-
 // fleet is a set of daemons that share a platform.
 type fleet struct {
 	*fakePlatform
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -114,6 +114,9 @@
 	routes        map[netip.AddrPort]*route
 	removedRoutes map[netip.AddrPort]time.Time
 
+	backendList *directory.BackendList // in force
+	restoredAt  time.Time              // of the platform's store, as far as entries may still be those of the copy; zero otherwise
+
 	servers          map[directory.ServerID]*backendServer
 	serversByService map[string][]*backendServer
 	tags             *tagger.Table
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -18,6 +18,9 @@
 	// removalGrace is how long the entry of a backend server must be missing before its flows are reset: entries that expire
 	// during an outage of the platform return within about 2 s after it.
 	removalGrace = 2500 * time.Millisecond
+	// restoreGrace is how long after a restore of the platform's store an entry may be that of the copy. Entries of running backend
+	// servers are written again within 2 s, the others expire after three heartbeats of up to 1.2 s.
+	restoreGrace = 5 * time.Second
 )
 
 // route is a route in force with the state of its placement.
@@ -78,13 +81,37 @@
 	return created
 }
 
+// isAheadOf reports whether this daemon knows a later state of the backend server than an entry of a store that was restored at
+// restoredAt: the entry may be that of the copy.
+func (b *backendServer) isAheadOf(entry *directory.BackendServer, now, restoredAt time.Time) bool {
+	switch {
+	case entry.Incarnation != b.Incarnation:
+		return entry.Incarnation < b.Incarnation
+	case b.Leaving:
+		return !entry.Leaving
+	}
+	return !b.removedAt.IsZero() && b.removedAt.Before(restoredAt) && now.Sub(b.lastAnswer) > removalGrace
+}
+
 // SetBackendList replaces the backend list. Removed backend servers are kept for removedRetention, because packets of their flows
 // still arrive.
 func (s *Steerer) SetBackendList(now time.Time, l *directory.BackendList) {
-	listed := make(map[directory.ServerID]bool, len(l.Servers))
-	for _, entry := range l.Servers {
-		listed[entry.ID] = true
+	if s.backendList != nil && s.backendList.Era > 0 && l.Era > s.backendList.Era {
+		s.restoredAt = now
+	}
+	s.backendList = l
+	s.applyBackendList(now)
+}
+
+func (s *Steerer) applyBackendList(now time.Time) {
+	listed := make(map[directory.ServerID]bool, len(s.backendList.Servers))
+	for _, entry := range s.backendList.Servers {
 		known := s.servers[entry.ID]
+		if known != nil && !s.restoredAt.IsZero() && known.isAheadOf(&entry, now, s.restoredAt) {
+			listed[entry.ID] = known.Incarnation == entry.Incarnation
+			continue
+		}
+		listed[entry.ID] = true
 		switch {
 		case known == nil:
 			s.servers[entry.ID] = &backendServer{BackendServer: entry, health: health{ignoreObservations: s.config.IgnoreObservations}}
@@ -154,6 +181,10 @@
 			f.setCountedOpen(false)
 		}
 	}
+	if !s.restoredAt.IsZero() && now.Sub(s.restoredAt) >= restoreGrace {
+		s.restoredAt = time.Time{}
+		s.applyBackendList(now)
+	}
 	expired := false
 	for _, b := range s.servers {
 		if b.removedFor(now) > removedRetention {
