explainer: the timeline shows restores of the store; format the follower

Cause: explain left out the new lines, which explain late changes of a view. Change: both messages concern all flows of their daemon.

--- a/internal/direct/follower/follower.go
+++ b/internal/direct/follower/follower.go
@@ -111,7 +111,7 @@
 	ages                   viewAges
 	mu                     sync.Mutex
 	backendList            *lister.Lister
-	publishedEra           uint64 // of the backend list that the sink has
+	publishedEra           uint64    // of the backend list that the sink has
 	era                    uint64    // highest known era of the platform's store
 	eraKnownSince          time.Time // when this daemon learned of that era
 	configuration          *directory.Configuration
--- a/services/explainer/explainer.go
+++ b/services/explainer/explainer.go
@@ -176,7 +176,8 @@
 		return true
 	}
 	// The ends of these messages vary, because they name the consequences.
-	return strings.HasPrefix(message, "platform lost") || strings.HasPrefix(message, "view too old")
+	return strings.HasPrefix(message, "platform lost") || strings.HasPrefix(message, "view too old") ||
+		strings.HasPrefix(message, "platform's store was restored") || strings.HasPrefix(message, "platform answered with an older revision")
 }
 
 // within reports whether a time is in the time range of the query, as extended by outside.
