soak: restore the store from an older copy

Cause: no test with real processes restored the store while other faults were active. Change: the fault takes a copy, lets the store fail with resets 0.5 to 4.5 s later for up to 2 s, restores it, and the operator writes the newest configuration again within 2 s; entries of crashed backend servers in the copy expire again.

--- a/tests/harness/deployment/backends.go
+++ b/tests/harness/deployment/backends.go
@@ -123,6 +123,24 @@
 	}
 }
 
+// RestoreStore restores the store from an earlier copy. The entries of crashed backend servers in the copy expire as after a crash;
+// the others write theirs again with their next heartbeat, and the operator writes the newest configuration again after a delay.
+func (d *Deployment) RestoreStore(c platformtest.Copy, rewriteAfter time.Duration) {
+	d.Store.Restore(c)
+	time.AfterFunc(3*heartbeatInterval, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for _, b := range d.crashed {
+			d.Store.RemoveServer(b.server.ID)
+		}
+	})
+	time.AfterFunc(rewriteAfter, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.writeConfiguration()
+	})
+}
+
 // timeForNewFlows returns how long from now a leaving backend server may still get new flows. The caller holds mu.
 func (d *Deployment) timeForNewFlows() time.Duration {
 	if d.storeFailing {
--- a/tests/harness/deployment/deployment.go
+++ b/tests/harness/deployment/deployment.go
@@ -86,6 +86,7 @@
 	storeFailing         bool
 	lastServerID         int
 	configurationVersion uint64
+	routes               []directory.Route // of the newest configuration
 }
 
 func (d *Deployment) address(kind, zone, number, port int) netip.AddrPort {
@@ -193,10 +194,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.configurationVersion += 3
-	d.Store.SetConfiguration(&directory.Configuration{Version: d.configurationVersion, Routes: routes, IdleTimeout: 15 * time.Second})
+	d.routes = routes
+	d.writeConfiguration()
 	return d.configurationVersion
 }
 
+// writeConfiguration writes the newest configuration to the store. The caller holds mu.
+func (d *Deployment) writeConfiguration() {
+	d.Store.SetConfiguration(&directory.Configuration{Version: d.configurationVersion, Routes: d.routes, IdleTimeout: 15 * time.Second})
+}
+
 // WaitReady waits until count daemons are in rotation.
 func (d *Deployment) WaitReady(count int) error {
 	for end := time.Now().Add(startTimeout); d.Fabric.ReadyCount() < count; time.Sleep(20 * time.Millisecond) {
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -140,6 +140,7 @@
 		{"configure", in.changeConfiguration}, {"hangup", in.hangUpDaemon},
 	}
 	if in.linkFaultsEnabled {
+		faults = append(faults, fault{"restore", in.restoreStore})
 		faults = append(faults, in.linkFaults()...)
 	}
 	f := faults[in.random.IntN(len(faults))]
@@ -249,6 +250,19 @@
 	in.schedule(time.Second, 5*time.Second, func() { in.SetStoreFault(platformtest.NoFault) })
 }
 
+// restoreStore takes a copy of the store and restores the store from it some time later, after a short outage.
+func (in *injector) restoreStore() {
+	older := in.Store.Copy()
+	outage := time.Duration(in.random.Int64N(int64(2 * time.Second)))
+	rewriteAfter := time.Duration(in.random.Int64N(int64(2 * time.Second)))
+	lost := 500*time.Millisecond + time.Duration(in.random.Int64N(int64(4*time.Second)))
+	in.schedule(lost, lost+time.Millisecond, func() { in.SetStoreFault(platformtest.ConnectionReset) })
+	in.schedule(lost+outage, lost+outage+time.Millisecond, func() {
+		in.RestoreStore(older, rewriteAfter)
+		in.SetStoreFault(platformtest.NoFault)
+	})
+}
+
 // compactStore compacts the history of the store after a change that the watches of the daemons have missed.
 func (in *injector) compactStore() {
 	in.Store.SuppressWatchEvents(true)
--- a/tests/soak/main.go
+++ b/tests/soak/main.go
@@ -1,6 +1,6 @@
 // Command soak runs the daemons of direct server return as real processes on loopback and injects faults from outside, which are
 // drawn from a seed and overlap: daemons are stopped, killed and paused, backend servers drain and crash, the configuration
-// store fails in each way, compacts its history and stops responding, and the configuration changes. The links to daemons and to
+// store fails in each way, compacts its history, stops responding and is restored from an older copy, and the configuration changes. The links to daemons and to
 // the store lose, duplicate, delay and block packets or reset connections, some in one direction only. Meanwhile callers and
 // backend servers check the guarantees, such as that no request runs twice. The report is a Markdown page with a plot.
 package main
