fetcher: refuse a response that does not tell where it ends

What could happen: a response with neither Content-Length nor chunks that breaks off halfway is taken for complete. Half a settings tree may be valid, and its missing services would come into force as removed.

Cause: the end of such a body is the end of the connection.

Evidence: TestBrokenOffResponse accepted "half" as revision 3 in two of its four cases before, none now.

Conclusion: fixed for both forms, which share the fetcher.

--- a/modules/fetcher/fetcher.go
+++ b/modules/fetcher/fetcher.go
@@ -130,8 +130,8 @@
 }
 
 // GetPath sends a GET request for path, relative to the base URL. The timeout is that of the Fetcher plus wait. Responses of
-// every status are returned without an error. The error is ErrOversized when the body exceeds the size limit, and
-// ErrUnavailable when there is no complete response.
+// every status are returned without an error. The error is ErrOversized when the body exceeds the size limit, ErrMalformed when
+// the response does not tell where it ends, and ErrUnavailable when there is no complete response.
 func (f *Fetcher) GetPath(ctx context.Context, path string, query url.Values, wait time.Duration) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.timeout+max(wait, 0))
 	defer cancel()
@@ -146,6 +146,9 @@
 		return Response{}, eris.Wrapf(ErrUnavailable, "%v", err)
 	}
 	defer response.Body.Close()
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 { // its end cannot be told from a connection that broke
+		return Response{}, eris.Wrapf(ErrMalformed, "response to %s has neither a length nor chunks", path)
+	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, f.maxBytes+1))
 	if err != nil {
 		return Response{}, eris.Wrapf(ErrUnavailable, "body of %s: %v", path, err)
--- a/modules/fetcher/fetcher_test.go
+++ b/modules/fetcher/fetcher_test.go
@@ -1,15 +1,19 @@
 package fetcher_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/modules/fetcher"
 )
@@ -91,3 +95,44 @@
 	b.Reset()
 	g.Expect(b.Next()).To(BeNumerically("<=", time.Second))
 }
+
+// serveRaw accepts connections and writes the response, as it is, to the first request of each. It returns the URL.
+func serveRaw(t *testing.T, response string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, response)
+			_ = conn.Close()
+		}
+	})
+	return "http://" + listener.Addr().String()
+}
+
+// TestBrokenOffResponse guards against a response that breaks off halfway and is taken for a complete document.
+func TestBrokenOffResponse(t *testing.T) {
+	for name, response := range map[string]string{
+		"shorter than its length": "HTTP/1.1 200 OK\r\nX-Revision: 3\r\nContent-Length: 20\r\n\r\nhalf",
+		"without the last chunk":  "HTTP/1.1 200 OK\r\nX-Revision: 3\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"without a length":        "HTTP/1.1 200 OK\r\nX-Revision: 3\r\n\r\nhalf",
+		"of HTTP/1.0, not framed": "HTTP/1.0 200 OK\r\nX-Revision: 3\r\n\r\nhalf",
+	} {
+		f, err := fetcher.New(fetcher.Config{URL: serveRaw(t, response)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d, err := f.GetDocument(t.Context(), "settings", 0, 0); err == nil {
+			t.Errorf("%s: revision %d with content %q", name, d.Revision, d.Content)
+		}
+	}
+}
