--- a/modules/fetcher/fetcher.go
+++ b/modules/fetcher/fetcher.go
@@ -159,6 +159,9 @@
 	return Response{Status: response.StatusCode, Header: response.Header, Body: content}, nil
 }
 
+// CloseIdleConnections closes the connections that are not in use.
+func (f *Fetcher) CloseIdleConnections() { f.client.CloseIdleConnections() }
+
 // Backoff computes delays before retries, exponential and with jitter, so that many daemons do not all retry at the same
 // time when the platform recovers. It is not safe for concurrent use.
 type Backoff struct {
