serve: qualify revisions of documents by the era of the platform's store

After a restore of the store, a settings tree under the revision of a lost one was rejected as a second content of that revision, or not noticed, and was not in force until the revisions had passed the lost ones.

Change: the fetcher qualifies the revision by Store-Era (upper 24 bits; unchanged in the first era and without the header), so that tokens, heartbeats and views keep one order, and reads again when the known revision is confirmed by another era. The reviser ignores content of a later era under a lower revision, or that it accepted before: the copy may hold it. The content in force under any revision of the era, or another content under the same or a higher one, is applied. Peers are not asked again for content passed over. Watchers wait for 4 s instead of 30 s, because only an answer tells the era.

Tried and reverted: a call without a wait after each failure, and connections of their own for long polls; both miss a restore between two calls.

Open: a daemon that starts with nothing while the restored store holds only the older copy takes that copy, until the operator writes the newest content again.

--- a/modules/fetcher/fetcher.go
+++ b/modules/fetcher/fetcher.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/bluebelldyke/bluebelldyke/modules/qualifier"
 )
 
 const (
@@ -22,6 +24,8 @@
 	DefaultMaxBytes = 1 << 20
 	// revisionHeader is the response header with the revision of the document in the body.
 	revisionHeader = "X-Revision"
+	// eraHeader is the response header that counts how often the platform's store was restored from an older copy.
+	eraHeader = "Store-Era"
 )
 
 // Errors returned by GetDocument and GetPath.
@@ -50,6 +54,7 @@
 
 // Document is one revision of a document.
 type Document struct {
+	// Revision is qualified by the era of the platform's store, see qualifier.Qualify.
 	Revision uint64
 	Content  []byte
 }
@@ -95,10 +100,11 @@
 	return f, nil
 }
 
-// GetDocument reads the named document. If its current revision is knownRevision, it returns ErrNotModified. With wait > 0
+// GetDocument reads the named document. If its current qualified revision is knownRevision, it returns ErrNotModified. With wait > 0
 // this is a long poll: the platform then first waits, for wait at most, until the revision changes.
 func (f *Fetcher) GetDocument(ctx context.Context, name string, knownRevision uint64, wait time.Duration) (Document, error) {
-	query := url.Values{"after": {strconv.FormatUint(knownRevision, 10)}}
+	knownEra, after := qualifier.Split(knownRevision)
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
 	if wait > 0 {
 		query.Set("wait", wait.String())
 	}
@@ -106,14 +112,25 @@
 	if err != nil {
 		return Document{}, err
 	}
+	era, err := parseEra(response.Header)
+	if err != nil {
+		return Document{}, err
+	}
 	switch response.Status {
 	case http.StatusOK:
 		revision, err := strconv.ParseUint(strings.TrimSpace(response.Header.Get(revisionHeader)), 10, 64)
 		if err != nil || revision == 0 {
 			return Document{}, eris.Wrapf(ErrMalformed, "%s is %q", revisionHeader, response.Header.Get(revisionHeader))
 		}
-		return Document{Revision: revision, Content: response.Body}, nil
+		qualified, err := qualifier.Qualify(era, revision)
+		if err != nil {
+			return Document{}, eris.Wrapf(ErrMalformed, "%v", err)
+		}
+		return Document{Revision: qualified, Content: response.Body}, nil
 	case http.StatusNotModified:
+		if after != 0 && era != knownEra { // a restored store has given the revision out again
+			return f.GetDocument(ctx, name, 0, 0)
+		}
 		return Document{}, ErrNotModified
 	case http.StatusNotFound:
 		return Document{}, ErrNotFound
@@ -122,6 +139,19 @@
 	}
 }
 
+// parseEra returns the era of a response, at least 1.
+func parseEra(h http.Header) (uint64, error) {
+	text := h.Get(eraHeader)
+	if text == "" {
+		return 1, nil
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, eris.Wrapf(ErrMalformed, "%s is %q", eraHeader, text)
+	}
+	return max(era, 1), nil
+}
+
 // Response is the platform's response to one request.
 type Response struct {
 	Status int
--- a/routers/relayer/documents.go
+++ b/routers/relayer/documents.go
@@ -60,6 +60,15 @@
 	d.version.Store(&packer.Version{})
 }
 
+// isPassedOver reports whether the version is known to be older than the one held although its revision is higher.
+func (d *document) isPassedOver(v packer.Version) bool {
+	if !d.mu.TryLock() {
+		return false
+	}
+	defer d.mu.Unlock()
+	return d.reviser.IsPassedOver(v.Revision, v.DigestPrefix)
+}
+
 // revision returns the revision held, or 0.
 func (d *document) revision() uint64 { return d.version.Load().Revision }
 
@@ -163,7 +172,7 @@
 func (r *Relayer) handleVersion(from netip.AddrPort, d *document, v packer.Version) {
 	held := *d.version.Load()
 	switch {
-	case v.Revision > held.Revision:
+	case v.Revision > held.Revision && !d.isPassedOver(v):
 		r.counters.heartbeatRepairs.Add(1)
 		r.addPullSource(d, v.Revision, from)
 	case v.Revision == held.Revision && v.DigestPrefix != held.DigestPrefix && d.mu.TryLock():
--- a/routers/relayer/relayer.go
+++ b/routers/relayer/relayer.go
@@ -36,8 +36,9 @@
 	// DefaultPollInterval is the mean time between the platform calls of a daemon that is not a watcher. 3,800 daemons with
 	// two documents then make about 130 calls a second, and the platform allows 2,000.
 	DefaultPollInterval = time.Minute
-	// DefaultLongPollTimeout is how long a watcher lets the platform hold a call that waits for a change.
-	DefaultLongPollTimeout = 30 * time.Second
+	// DefaultLongPollTimeout is how long a watcher lets the platform hold a call that waits for a change. The answer also tells the era
+	// of the platform's store: a change under a revision that a restored store gives out again ends no call that waits after it.
+	DefaultLongPollTimeout = 4 * time.Second
 	// DefaultWatchersPerZone is the number of watchers per availability zone and document.
 	DefaultWatchersPerZone = 2
 	// maxDocumentBytes limits a document that is read from a peer or the platform.
--- a/routers/relayer/relayer_test.go
+++ b/routers/relayer/relayer_test.go
@@ -27,6 +27,7 @@
 // platform is a fake of the platform's document API that serves only the settings.
 type platform struct {
 	mu       sync.Mutex
+	era      uint64 // 0: responses state no era
 	revision uint64
 	content  string
 	calls    int
@@ -57,7 +58,8 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	for end := time.Now().Add(wait); p.revision == after && time.Now().Before(end) && r.Context().Err() == nil; {
+	era := p.era
+	for end := time.Now().Add(wait); p.revision == after && p.era == era && time.Now().Before(end) && r.Context().Err() == nil; {
 		changed := p.changed
 		p.mu.Unlock()
 		select {
@@ -70,6 +72,12 @@
 	if wait == 0 {
 		p.polls++
 	}
+	if p.era != era { // a store that is restored cuts the calls that wait
+		panic(http.ErrAbortHandler)
+	}
+	if p.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(p.era, 10))
+	}
 	if p.revision == after {
 		w.WriteHeader(http.StatusNotModified)
 		return
@@ -266,6 +274,43 @@
 	g.Eventually(d.settingsRevision, 5*time.Second).Should(Equal(uint64(7)))
 }
 
+// TestRestoredPlatform guards against a change that is rejected or overlooked because a restored store gives it the revision of a lost
+// one, and against a return to the older content of the copy.
+func TestRestoredPlatform(t *testing.T) {
+	g := NewWithT(t)
+	p, url := newPlatform(t)
+	p.era = 1
+	z := &zone{}
+	all := []*daemon{newDaemon(t, z, url, nil), newDaemon(t, z, url, nil), newDaemon(t, z, url, nil)}
+	p.set(5, settingsWith(3, "5"))
+	for _, d := range all {
+		d.run(t)
+	}
+	expectRevision := func(revision uint64) {
+		t.Helper()
+		for _, d := range all {
+			g.Eventually(d.settingsRevision, 6*time.Second).Should(Equal(revision)) // the bound of G8
+		}
+	}
+	restore := func(revision uint64, content string) {
+		p.mu.Lock()
+		p.era++
+		p.mu.Unlock()
+		p.set(revision, content)
+	}
+	expectRevision(5)
+	p.set(6, settingsWith(3, "6"))
+	expectRevision(6)
+	restore(4, settingsWith(3, "4"))
+	g.Consistently(all[0].settingsRevision, time.Second).Should(Equal(uint64(6)), "the copy is older")
+	p.set(5, settingsWith(3, "6"))
+	expectRevision(1<<40 | 5) // the operator has written the newest content again
+	p.set(6, settingsWith(3, "7"))
+	expectRevision(1<<40 | 6)
+	restore(6, settingsWith(3, "8")) // changed before the daemons read the restored store
+	expectRevision(2<<40 | 6)
+}
+
 // TestStartFromPeers guards against a daemon that cannot start while the platform is down, and against accepting a document from
 // a peer with another fleet key.
 func TestStartFromPeers(t *testing.T) {
--- a/services/reviser/history.go
+++ b/services/reviser/history.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/bluebelldyke/bluebelldyke/modules/differ"
+	"github.com/bluebelldyke/bluebelldyke/modules/qualifier"
 )
 
 const (
@@ -125,9 +126,20 @@
 // contentID identifies the content of a revision by the DigestPrefix of the content.
 type contentID struct{ revision, digestPrefix uint64 }
 
-// decisions holds the latest accepted and rejected contents. The two lists are separate so that a flood of
+// decisions holds the latest accepted and rejected contents, and those passed over as older. The lists are separate so that a flood of
 // rejected contents cannot displace the accepted ones.
-type decisions struct{ accepted, rejected []contentID }
+type decisions struct{ accepted, rejected, passedOver []contentID }
+
+// wasAccepted reports whether the content was accepted under the revision of any era.
+func (d *decisions) wasAccepted(revision, prefix uint64) bool {
+	return slices.ContainsFunc(d.accepted, func(c contentID) bool {
+		_, accepted := qualifier.Split(c.revision)
+		return accepted == revision && c.digestPrefix == prefix
+	})
+}
+
+// passOver records that the content was ignored under the revision as that of an older copy of the store.
+func (d *decisions) passOver(rev, prefix uint64) { d.passedOver = record(d.passedOver, rev, prefix) }
 
 // accept records that the content was accepted under the revision.
 func (d *decisions) accept(rev, prefix uint64) { d.accepted = record(d.accepted, rev, prefix) }
--- a/services/reviser/reviser.go
+++ b/services/reviser/reviser.go
@@ -4,9 +4,11 @@
 package reviser
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bluebelldyke/bluebelldyke/modules/differ"
+	"github.com/bluebelldyke/bluebelldyke/modules/qualifier"
 )
 
 // Outcome is the result of one decision.
@@ -41,10 +43,15 @@
 	CauseMissingDocuments Cause = "missing-documents"
 	CauseDocumentConflict Cause = "conflict-between-documents"
 	CauseNotFollowed      Cause = "not-followed"
+	// CauseRestoredContent means that a restored store holds the content in force, under a revision of its era.
+	CauseRestoredContent Cause = "content-held-by-restored-store"
+	// CauseRestoredCopy means that the offer may be older than the revision in force, because a restored store has lost that one.
+	CauseRestoredCopy Cause = "older-in-restored-store"
 )
 
 // Offer is a revision of a document as received from a source.
 type Offer struct {
+	// Revision is qualified by the era of the platform's store, see qualifier.Qualify.
 	Revision uint64
 	Content  []byte
 	// Source names the platform or the peer that sent the offer.
@@ -123,6 +130,9 @@
 		r.revision, r.content, r.digest = o.Revision, o.Content, digest
 		r.decisions.accept(o.Revision, DigestPrefix(digest))
 	}
+	if d.Cause == CauseRestoredCopy {
+		r.decisions.passOver(o.Revision, DigestPrefix(digest))
+	}
 	if d.Outcome == Rejected {
 		r.decisions.reject(o.Revision, DigestPrefix(digest))
 	}
@@ -142,6 +152,11 @@
 	if o.Revision == 0 {
 		return Rejected, CauseNoRevision, "revision 0 is invalid: number the revisions of the document from 1 at the source"
 	}
+	if cause := r.compareEras(o, digest); cause == CauseRestoredCopy {
+		return Ignored, cause, ""
+	} else if cause == CauseRestoredContent {
+		return Applied, cause, ""
+	}
 	if r.decisions.isRejected(o.Revision, DigestPrefix(digest)) {
 		return Ignored, CauseAlreadyRejected, ""
 	}
@@ -165,6 +180,28 @@
 	return Applied, CauseHigherRevision, ""
 }
 
+// compareEras returns CauseRestoredContent or CauseRestoredCopy if they apply to an offer from a later era of the platform's store than the
+// revision in force. In its own era the store may hold the older content of its copy, or what was written since. Content under a
+// lower revision is taken for that of the copy, until the content in force is written again or the revisions have passed the lost ones.
+func (r *Reviser) compareEras(o Offer, digest differ.Digest) Cause {
+	era, revision := qualifier.Split(o.Revision)
+	eraInForce, revisionInForce := qualifier.Split(r.revision)
+	switch {
+	case r.revision == 0 || era <= eraInForce:
+		return ""
+	case digest == r.digest:
+		return CauseRestoredContent
+	case revision < revisionInForce || r.decisions.wasAccepted(revision, DigestPrefix(digest)):
+		return CauseRestoredCopy
+	}
+	return ""
+}
+
+// IsPassedOver reports whether the content was offered under the revision and ignored as that of an older copy of the store.
+func (r *Reviser) IsPassedOver(revision, digestPrefix uint64) bool {
+	return slices.Contains(r.decisions.passedOver, contentID{revision, digestPrefix})
+}
+
 // ComparePeerVersion compares the version that a peer announced, without content, with the one in force. It returns a
 // decision if the peer holds another content under the revision in force and this has not been reported yet; prefix is
 // the DigestPrefix of the peer's content.
