direct/follower: the test of eras restarts daemons

Cause: TestEras drove the state without restarts of processes. Change: processes are killed and started again; what a killed one still passes on is ignored, and each must not return to an earlier version. The draws of messages have their own lock: the race detector found the test's shared one.

--- a/internal/direct/follower/calls_test.go
+++ b/internal/direct/follower/calls_test.go
@@ -55,7 +55,7 @@
 		f.fakePlatform.mu.Unlock()
 		d := &daemon{fleet: f, source: f.daemons[0].source, zone: threeZones[0], address: netip.MustParseAddrPort("10.0.0.99:7400")}
 		c := f.daemons[0].c
-		c.Sink, c.Peers = d, d
+		c.Sink, c.Peers = process{d, 0}, d
 		follower := New(c)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
--- a/internal/direct/follower/fleet_test.go
+++ b/internal/direct/follower/fleet_test.go
@@ -214,7 +214,7 @@
 	return snapshot, nil
 }
 
-// daemon is a Follower with its source. It is the Follower's Sink, which records what is put in force, and its Peers.
+// daemon is a Follower with its source. It records what the Follower's Sink puts in force, and is the Follower's Peers.
 type daemon struct {
 	*Follower
 	fleet   *fleet
@@ -224,30 +224,59 @@
 	logs    *observer.ObservedLogs
 
 	mu          sync.Mutex
-	partitioned bool // from all peers
-	legacy      bool // exchanges messages without eras, like daemons of earlier versions
+	processes   int // started so far
+	kill        func()
+	restart     func()      // starts a new process after kill
+	partitioned bool        // from all peers
+	legacy      atomic.Bool // exchanges messages without eras, like daemons of earlier versions
 	versions    []uint64
 	servers     int
 	findings    int
 	sentBytes   int // to peers
 }
 
-func (d *daemon) SetConfiguration(c *directory.Configuration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.versions = append(d.versions, c.Version)
+// process is the Sink of one process of a daemon. It ignores what a process that was killed still passes to it.
+type process struct {
+	daemon *daemon
+	number int
 }
 
-func (d *daemon) SetBackendList(l *directory.BackendList) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.servers = len(l.Servers)
+// record calls the function unless the process was killed.
+func (p process) record(apply func(d *daemon)) {
+	p.daemon.mu.Lock()
+	defer p.daemon.mu.Unlock()
+	if p.number == p.daemon.processes {
+		apply(p.daemon)
+	}
+}
+
+func (p process) SetConfiguration(c *directory.Configuration) {
+	p.record(func(d *daemon) { d.versions = append(d.versions, c.Version) })
+}
+
+func (p process) SetBackendList(l *directory.BackendList) {
+	p.record(func(d *daemon) { d.servers = len(l.Servers) })
+}
+
+func (p process) AddFindings(f []steerer.Finding) {
+	p.record(func(d *daemon) { d.findings += len(f) })
 }
 
-func (d *daemon) AddFindings(f []steerer.Finding) {
+// start starts a new process of the daemon, whose predecessor must have been killed.
+func (d *daemon) start(ctx context.Context, group *errgroup.Group, zones []string) {
+	core, logs := observer.New(zap.InfoLevel)
+	processCtx, cancel := context.WithCancel(ctx)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.findings += len(f)
+	d.processes++
+	d.logs, d.kill, d.versions, d.servers = logs, cancel, nil, 0
+	d.restart = func() { d.start(ctx, group, zones) }
+	f := New(Config{
+		Source: d.source, Sink: process{d, d.processes}, Peers: d, Logger: zap.New(core), AvailabilityZone: d.zone, AvailabilityZones: zones,
+		StalenessBounds: StalenessBounds{BackendList: stalenessBound, Configuration: stalenessBound},
+	})
+	d.Follower = f
+	group.Go(func() error { return f.Run(processCtx) })
 }
 
 func (d *daemon) Address() netip.AddrPort { return d.address }
@@ -256,7 +285,7 @@
 	var list []packer.Member
 	for _, o := range d.fleet.daemons {
 		if o != d && !o.isPartitioned() && !d.isPartitioned() {
-			list = append(list, packer.Member{Address: o.address, AvailabilityZone: o.zone, KnowsEras: !o.legacy && !d.legacy})
+			list = append(list, packer.Member{Address: o.address, AvailabilityZone: o.zone, KnowsEras: !o.legacy.Load() && !d.legacy.Load()})
 		}
 	}
 	return list
@@ -299,8 +328,8 @@
 		}
 		if o.address == to && !o.isPartitioned() && !d.isPartitioned() {
 			delay, lost := 4*time.Millisecond, false
-			if d.fleet.transit != nil {
-				delay, lost = d.fleet.transit()
+			if transit := d.fleet.transit.Load(); transit != nil {
+				delay, lost = (*transit)()
 			}
 			if !lost {
 				time.AfterFunc(delay, func() { o.handleNotice(d.address, payload) })
@@ -320,13 +349,16 @@
 	return version, d.servers
 }
 
+// transit draws how long a message is on its way and whether it is lost.
+type transit func() (delay time.Duration, lost bool)
+
 // fleet is a set of daemons that share a platform.
 type fleet struct {
 	*fakePlatform
 	daemons         []*daemon
-	requests        atomic.Int64                            // messages that request a whole document
-	transit         func() (delay time.Duration, lost bool) // of messages between daemons; nil: 4 ms
-	killedAddresses sync.Map                                // of daemons that receive nothing, though the others still list them
+	requests        atomic.Int64            // messages that request a whole document
+	transit         atomic.Pointer[transit] // of messages between daemons; nil: 4 ms, none lost
+	killedAddresses sync.Map                // of daemons that receive nothing, though the others still list them
 }
 
 // setRefused makes the platform refuse the calls of all daemons, or of none.
@@ -352,26 +384,18 @@
 		for z, zone := range zones {
 			for i := range perZone {
 				d := &daemon{fleet: f, source: &fakeSource{fakePlatform: f.fakePlatform}, zone: zone, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, byte(i + 1)}), 7400)}
-				core, logs := observer.New(zap.InfoLevel)
-				d.logs = logs
-				d.Follower = New(Config{
-					Source: d.source, Sink: d, Peers: d, Logger: zap.New(core), AvailabilityZone: zone, AvailabilityZones: zones,
-					StalenessBounds: StalenessBounds{BackendList: stalenessBound, Configuration: stalenessBound},
-				})
 				f.daemons = append(f.daemons, d)
 			}
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		group, ctx := errgroup.WithContext(ctx)
 		for _, d := range f.daemons {
-			group.Go(func() error { return d.Run(ctx) })
+			d.start(ctx, group, zones)
 		}
 		time.Sleep(2 * time.Second)
 		test(f)
 		for _, d := range f.daemons {
-			if !slices.IsSorted(d.versions) {
-				t.Errorf("version of the configuration in force decreased: %v", d.versions)
-			}
+			d.expectNoReturn(t)
 		}
 		cancel()
 		if err := group.Wait(); err != nil {
@@ -381,6 +405,16 @@
 	})
 }
 
+// expectNoReturn fails the test if the running process replaced its configuration by an earlier one.
+func (d *daemon) expectNoReturn(t *testing.T) {
+	t.Helper()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !slices.IsSorted(d.versions) {
+		t.Errorf("%s: version of the configuration in force decreased: %v", d.address, d.versions)
+	}
+}
+
 var threeZones = []string{"souillac", "mahebourg", "bel-ombre"}
 
 // expectInForce fails the test unless all daemons have the configuration version and the number of backend servers in force.
--- a/internal/direct/follower/follower_test.go
+++ b/internal/direct/follower/follower_test.go
@@ -85,7 +85,7 @@
 			f.fakePlatform.mu.Unlock()
 			d := &daemon{fleet: f, source: &fakeSource{fakePlatform: f.fakePlatform, refused: refused}, zone: peer.zone, address: netip.MustParseAddrPort("10.0.0.99:7400")}
 			c := peer.c
-			c.Source, c.Sink, c.Peers = d.source, d, d
+			c.Source, c.Sink, c.Peers = d.source, process{d, 0}, d
 			d.Follower = New(c)
 			f.daemons = append(f.daemons, d)
 			ctx, cancel := context.WithCancel(context.Background())
--- a/internal/direct/follower/restore_test.go
+++ b/internal/direct/follower/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -120,17 +121,22 @@
 	for seed := range uint64(30) {
 		random := rand.New(rand.NewPCG(seed, 24))
 		runFleet(t, 2, threeZones, func(f *fleet) {
-			f.transit = func() (time.Duration, bool) {
-				return time.Duration(1+random.IntN(60)) * time.Millisecond, random.IntN(10) == 0
-			}
+			var mu sync.Mutex
+			messageRandom := rand.New(rand.NewPCG(seed, 25))
+			draw := transit(func() (time.Duration, bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				return time.Duration(1+messageRandom.IntN(60)) * time.Millisecond, messageRandom.IntN(10) == 0
+			})
+			f.transit.Store(&draw)
 			for _, d := range f.daemons {
-				d.legacy = seed%3 == 0 && random.IntN(3) == 0
+				d.legacy.Store(seed%3 == 0 && random.IntN(3) == 0)
 			}
 			newest := f.version
 			copies := []platformCopy{f.copy()}
 			for range 25 {
 				d := f.daemons[random.IntN(len(f.daemons))]
-				switch random.IntN(7) {
+				switch random.IntN(8) {
 				case 0:
 					f.restore(copies[random.IntN(len(copies))])
 				case 1:
@@ -145,6 +151,11 @@
 					d.setPartitioned(!d.isPartitioned())
 				case 6:
 					d.source.setRefused(random.IntN(2) == 0)
+				case 7:
+					d.expectNoReturn(t)
+					d.kill()
+					time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+					d.restart()
 				}
 				time.Sleep(time.Duration(random.IntN(1200)) * time.Millisecond)
 			}
