direct/follower: a read that is already under way does not settle an announced configuration

What could happen: a peer announces a newer configuration while a read of the platform is under way; the read brings the older one, the announced version was forgotten, and a large configuration was requested from the peer although the platform has it.

Cause: requestWanted did not compare the start of the read with the announcement. Change: it does. Evidence: TestAnnouncementDuringRead fails without the comparison.

--- a/internal/direct/follower/configuration.go
+++ b/internal/direct/follower/configuration.go
@@ -126,7 +126,7 @@
 			f.configAbsent = true
 			if f.configuration != nil { // a restored store has lost it
 				f.adoptConfiguration(nil, started)
-				f.requestWanted()
+				f.requestWanted(started)
 			}
 			f.publishAgesAndUnlock()
 			continue
@@ -139,7 +139,7 @@
 		backoff.Reset()
 		f.handleConfiguration(c, position, started)
 		f.mu.Lock()
-		f.requestWanted()
+		f.requestWanted(started)
 		f.publishAgesAndUnlock()
 		f.announce(nil)
 	}
@@ -220,8 +220,10 @@
 type wantedConfiguration struct {
 	version  uint64
 	storedAt directory.Position
-	since    time.Time // when it was first announced
-	from     netip.AddrPort
+	since    time.Time // from when on it may be obtained from a peer; after peerTransferTimeout the platform is read
+	// announcedAt is when it was first announced.
+	announcedAt time.Time
+	from        netip.AddrPort
 }
 
 // isWanted reports whether a peer has announced a configuration that supersedes the one in force. The caller holds mu.
@@ -232,9 +234,12 @@
 	return version > f.configuration.Version || version == f.configuration.Version && storedAt.Era > f.configStoredAt.Era
 }
 
-// requestWanted requests the wanted configuration from the peer that announced it if a read of the platform has not brought it, because
-// a restored store may have lost it. The caller holds mu.
-func (f *Follower) requestWanted() {
+// requestWanted requests the wanted configuration from the peer that announced it if a read of the platform that started at started has
+// not brought it, because a restored store may have lost it. The caller holds mu.
+func (f *Follower) requestWanted(started time.Time) {
+	if started.Before(f.wanted.announcedAt) {
+		return // the announcement arrived during the read
+	}
 	if f.isWanted(f.wanted.version, f.wanted.storedAt) {
 		f.sendRequest(f.wanted.from, configurationDocument, true)
 	}
--- a/internal/direct/follower/exchange.go
+++ b/internal/direct/follower/exchange.go
@@ -294,7 +294,7 @@
 // platform, because the link of a small VM cannot carry it to a whole zone. If it does not arrive in time, the other source is used.
 func (f *Follower) obtainConfiguration(now time.Time, from netip.AddrPort, a *announcement) {
 	if f.wanted.version < a.configVersion || f.wanted.version == a.configVersion && f.wanted.storedAt.Era < a.configStoredAt.Era {
-		f.wanted = wantedConfiguration{version: a.configVersion, storedAt: a.configStoredAt, since: now, from: from}
+		f.wanted = wantedConfiguration{version: a.configVersion, storedAt: a.configStoredAt, since: now, announcedAt: now, from: from}
 		if a.configRoutes > largeConfigurationRoutes {
 			f.wanted.since = now.Add(-peerTransferTimeout)
 		}
--- a/internal/direct/follower/restore_test.go
+++ b/internal/direct/follower/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -101,6 +102,31 @@
 	}
 }
 
+// TestAnnouncementDuringRead guards against a configuration that is not read from the platform because a read that started before it was
+// announced has not brought it.
+func TestAnnouncementDuringRead(t *testing.T) {
+	runFleet(t, 1, threeZones[:1], func(f *fleet) {
+		d := f.daemons[0]
+		started := time.Now()
+		time.Sleep(time.Millisecond)
+		peer := netip.MustParseAddrPort("10.0.0.99:7400")
+		d.mu.Lock()
+		follower := d.Follower
+		d.mu.Unlock()
+		follower.mu.Lock()
+		defer follower.mu.Unlock()
+		follower.obtainConfiguration(time.Now(), peer, &announcement{configVersion: 9, configRoutes: 2 * largeConfigurationRoutes})
+		follower.requestWanted(started)
+		if follower.wanted.version != 9 {
+			t.Error("the announced version is forgotten")
+		}
+		follower.requestWanted(time.Now())
+		if follower.wanted.version != 0 {
+			t.Error("the platform is read again although a read after the announcement has not brought it")
+		}
+	})
+}
+
 // TestRestoreIsLogged guards against an operator who cannot tell a restore from an outage.
 func TestRestoreIsLogged(t *testing.T) {
 	runFleet(t, 2, threeZones, func(f *fleet) {
