relayer: long polls of VM lists are seven times as long as those of settings

Its settings change every 1.25 s, so only the watchers of the VM list time out.

Cause: the long poll of 4 s from held for VM lists too. Change: 28 s for VM lists, which may lag; 4 s for settings, whose changes must be in force within 6 s.

Open: a change of a VM list under a revision that a restored store gives out again stays unnoticed for up to 28 s if no call was waiting when the store was restored.

--- a/routers/relayer/platform.go
+++ b/routers/relayer/platform.go
@@ -45,7 +45,7 @@
 	for ctx.Err() == nil {
 		longPollTimeout := time.Duration(0)
 		if r.IsWatcher(d.name) {
-			longPollTimeout = r.cfg.LongPollTimeout
+			longPollTimeout = r.longPollTimeout(d)
 		}
 		started := time.Now()
 		err := r.fetchFromPlatform(ctx, &cursor, longPollTimeout)
@@ -60,6 +60,14 @@
 	return nil
 }
 
+// longPollTimeout returns how long the platform may hold a call of a watcher of the document.
+func (r *Relayer) longPollTimeout(d *document) time.Duration {
+	if d.isSettings {
+		return r.cfg.LongPollTimeout
+	}
+	return vmListLongPollFactor * r.cfg.LongPollTimeout
+}
+
 // callInterval returns the time between the starts of two calls. Daemons that are not watchers keep PollInterval also after
 // failed calls once they hold a revision, so that they do not add load to a platform that is failing.
 func (r *Relayer) callInterval(d *document, backoff *fetcher.Backoff, err error, watching bool) time.Duration {
--- a/routers/relayer/relayer.go
+++ b/routers/relayer/relayer.go
@@ -39,6 +39,9 @@
 	// DefaultLongPollTimeout is how long a watcher lets the platform hold a call that waits for a change. The answer also tells the era
 	// of the platform's store: a change under a revision that a restored store gives out again ends no call that waits after it.
 	DefaultLongPollTimeout = 4 * time.Second
+	// vmListLongPollFactor is how much longer a long poll of a VM list is. VM lists may lag, and their watchers make most of the calls to
+	// a platform on which nothing changes.
+	vmListLongPollFactor = 7
 	// DefaultWatchersPerZone is the number of watchers per availability zone and document.
 	DefaultWatchersPerZone = 2
 	// maxDocumentBytes limits a document that is read from a peer or the platform.
