runner: the last line of a process states the cause of its end

What was seen: the line "daemon ends" had no cause after a stop, no component and no exit status; with a full ring buffer or log.level warn it was missing, and with a blocked output the process did not end at all. Cause: the line went through the ring and the level of all others, and the end waited for the output without a limit. Change: the spooler keeps the last line apart from its ring; it names the signal or the component, and the exit status. Waits for both outputs are bounded. "daemon starts" states process id, incarnation and version; metrics: start time of the process, restarts of other members by whether they had announced their stop.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -11,9 +11,11 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/models/settings"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
@@ -27,6 +29,9 @@
 	exitUsage   = 2 // usage or invalid input
 )
 
+// errorWriteLimit is the longest wait for the error output at the end of the process.
+const errorWriteLimit = 400 * time.Millisecond
+
 const (
 	program   = "bluebelldyke"
 	exitCodes = "Exit codes: 0 success, 1 failure, 2 usage or invalid input."
@@ -69,7 +74,7 @@
 	if err == nil {
 		return exitOK
 	}
-	_, _ = fmt.Fprintln(errOut, prefixLines(err.Error())) // a failed write to stderr cannot be reported
+	printError(errOut, err)
 	if isInvalidInput(err) {
 		return exitUsage
 	}
@@ -79,6 +84,21 @@
 	return exitFailure
 }
 
+// printError writes the error. It gives up when nothing reads the output, so that the process ends; a failed write cannot be reported.
+func printError(out io.Writer, err error) {
+	written := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error {
+		defer close(written)
+		_, _ = fmt.Fprintln(out, prefixLines(err.Error()))
+		return nil
+	})
+	select {
+	case <-written:
+	case <-time.After(errorWriteLimit):
+	}
+}
+
 // prefixLines puts the name of the program before each line, as is usual for error messages.
 func prefixLines(text string) string {
 	return program + ": " + strings.ReplaceAll(text, "\n", "\n"+program+": ")
--- a/cmd/direct.go
+++ b/cmd/direct.go
@@ -32,6 +32,6 @@
 		defer stop()
 		// The first signal starts a graceful shutdown and restores the default action, so that a second one ends the process.
 		context.AfterFunc(ctx, stop)
-		return addBindRemedy(config, runner.Run(ctx, runner.Config{Settings: s, File: config, Source: store, Layout: platform.PacketLayout()}))
+		return addBindRemedy(config, runner.Run(ctx, runner.Config{Settings: s, File: config, Source: store, Layout: platform.PacketLayout(), Version: Version}))
 	}}
 }
--- a/internal/direct/runner/operator.go
+++ b/internal/direct/runner/operator.go
@@ -1,8 +1,6 @@
 package runner
 
 import (
-	"time"
-
 	"github.com/rotisserie/eris"
 
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/follower"
@@ -30,9 +28,9 @@
 	return a
 }
 
-func newSummarizer(s loader.Settings, f *follower.Follower, t *transporter.Transporter, p *peers.Peers, audit *auditor.Auditor) *summarizer.Summarizer {
+func newSummarizer(s loader.Settings, process process, f *follower.Follower, t *transporter.Transporter, p *peers.Peers, audit *auditor.Auditor) *summarizer.Summarizer {
 	return summarizer.New(summarizer.Config{
-		Name: s.VMName, AvailabilityZone: s.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli()), Views: f, Traffic: t, Members: p, Audit: audit,
+		Name: s.VMName, AvailabilityZone: s.AvailabilityZone, Incarnation: process.incarnation, Views: f, Traffic: t, Members: p, Audit: audit,
 	})
 }
 
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -53,6 +53,8 @@
 	quietPeriod = 150 * time.Millisecond
 	// exitReserve is the part of the grace period that draining leaves for the exit of the process.
 	exitReserve = 500 * time.Millisecond
+	// outputEndLimit is the longest wait for the log output at the end of the process.
+	outputEndLimit = 400 * time.Millisecond
 )
 
 // Config holds the settings of a daemon and what depends on the platform.
@@ -62,12 +64,27 @@
 	File   string
 	Source follower.Source
 	Layout editor.Layout
+	// Version is the version of the program.
+	Version string
+}
+
+// process identifies one run of a daemon. Peers take a higher incarnation at an address for a later process.
+type process struct {
+	version     string
+	startedAt   time.Time
+	incarnation uint64 // start time in Unix ms
+}
+
+func newProcess(c Config) process {
+	now := time.Now()
+	return process{version: c.Version, startedAt: now, incarnation: uint64(now.UnixMilli())}
 }
 
 // components are the parts of a running daemon, as assembled by dependency injection.
 type components struct {
 	fx.In
 	Settings    loader.Settings
+	Process     process
 	Logger      *zap.Logger
 	LogOutput   *spooler.Spooler
 	Peers       *peers.Peers
@@ -90,7 +107,7 @@
 	var assembled components
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(c, c.Settings, c.Layout, entry),
+		fx.Supply(c, newProcess(c), c.Settings, c.Layout, entry),
 		fx.Provide(func() follower.Source { return c.Source }, newRandom, newSpooler, newLogger, newMetrics, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
 		fx.Invoke(func(in components) { assembled = in }),
 	)
@@ -105,7 +122,7 @@
 func newSpooler() *spooler.Spooler { return spooler.New(os.Stdout, 0) }
 
 // newMetrics returns the meter of the daemon and the handler of the metrics page.
-func newMetrics(output *spooler.Spooler) (metric.Meter, http.Handler, error) {
+func newMetrics(output *spooler.Spooler, p process) (metric.Meter, http.Handler, error) {
 	provider, page, err := exposer.New()
 	if err != nil {
 		return nil, nil, err
@@ -116,7 +133,15 @@
 			o.Observe(int64(output.Dropped()))
 			return nil
 		}))
-	return meter, page, eris.Wrap(err, "metric log.dropped")
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "metric log.dropped")
+	}
+	_, err = meter.Int64ObservableGauge("bluebelldyke.process.start-time", metric.WithDescription("start of the process in Unix time"), metric.WithUnit("s"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(p.startedAt.Unix())
+			return nil
+		}))
+	return meter, page, eris.Wrap(err, "metric process.start-time")
 }
 
 func newLogger(s loader.Settings, output *spooler.Spooler) (*zap.Logger, zap.AtomicLevel, error) {
@@ -124,11 +149,14 @@
 	if err != nil {
 		return nil, level, eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
 	}
-	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	return zap.New(zapcore.NewCore(newEncoder(s), output, level)), level, nil
+}
+
+func newEncoder(s loader.Settings) zapcore.Encoder {
 	if s.Log.Format == "text" {
-		encoder = zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
+		return zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
 	}
-	return zap.New(zapcore.NewCore(encoder, output, level)), level, nil
+	return zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
 }
 
 func newRecorder(s loader.Settings, logger *zap.Logger, audit *auditor.Auditor) *recorder.Recorder {
@@ -159,9 +187,9 @@
 	return t, t.RegisterMetrics(meter)
 }
 
-func newPeers(s loader.Settings, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
+func newPeers(s loader.Settings, process process, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
 	return peers.New(peers.Config{
-		Bind: s.Peer.Bind, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli()),
+		Bind: s.Peer.Bind, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: process.incarnation,
 		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Weak: s.Peer.Weak, FastDetection: s.Peer.FastDetection, Logger: logger, Meter: meter, Random: newRandom(),
 	})
 }
@@ -251,21 +279,54 @@
 
 // run runs the components. When ctx ends they continue until the daemon has drained.
 func (c *components) run(ctx context.Context) error {
-	c.Logger.Info("daemon starts", zap.String("vm", c.Settings.VMName), zap.String("availability-zone", c.Settings.AvailabilityZone))
+	outputCtx, endOutput := context.WithCancel(context.WithoutCancel(ctx))
+	defer endOutput()
+	outputEnded := make(chan struct{})
+	var outputGroup errgroup.Group
+	outputGroup.Go(func() error {
+		defer close(outputEnded)
+		return c.LogOutput.Run(outputCtx)
+	})
+	c.Logger.Info("daemon starts", zap.String("vm", c.Settings.VMName), zap.String("availability-zone", c.Settings.AvailabilityZone),
+		zap.Int("process", os.Getpid()), zap.Uint64("incarnation", c.Process.incarnation), zap.String("version", c.Process.version))
+	err := c.runComponents(ctx)
+	logEnd(c.Settings, c.LogOutput, ctx, err)
+	endOutput()
+	select {
+	case <-outputEnded:
+	case <-time.After(outputEndLimit): // nothing reads the output
+	}
+	return err
+}
+
+// logEnd writes the last line of the process, whatever the log level is.
+func logEnd(s loader.Settings, output *spooler.Spooler, ctx context.Context, err error) {
+	cause, status := "stopped", 0
+	if err != nil {
+		cause, status = "failed", 1
+	} else if stop := context.Cause(ctx); stop != nil {
+		cause = stop.Error()
+	}
+	logger := zap.New(zapcore.NewCore(newEncoder(s), output.LastLine(), zapcore.DebugLevel))
+	logger.Info("daemon ends", zap.String("cause", cause), zap.Int("exit-status", status), zap.Error(err))
+}
+
+// runComponents returns after the daemon has drained or when a component has failed.
+func (c *components) runComponents(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, runCtx := errgroup.WithContext(runCtx)
-	outputCtx, endOutput := context.WithCancel(context.WithoutCancel(ctx))
-	var outputGroup errgroup.Group
-	outputGroup.Go(func() error { return c.LogOutput.Run(outputCtx) })
-	group.Go(func() error { return c.Peers.Run(runCtx) })
-	group.Go(func() error { return c.Reporter.Run(runCtx) })
-	group.Go(func() error { return c.Follower.Run(runCtx) })
-	group.Go(func() error { return c.Transporter.Run(runCtx) })
-	group.Go(func() error { return c.Responder.Run(runCtx) })
-	group.Go(func() error { return c.Reloader.Run(runCtx) })
+	run := func(name string, f func(context.Context) error) {
+		group.Go(func() error { return eris.Wrapf(f(runCtx), "component %s", name) })
+	}
+	run("peers", c.Peers.Run)
+	run("reporter", c.Reporter.Run)
+	run("follower", c.Follower.Run)
+	run("transporter", c.Transporter.Run)
+	run("responder", c.Responder.Run)
+	run("reloader", c.Reloader.Run)
 	if c.Operator != nil {
-		group.Go(func() error { return c.Operator.Run(runCtx) })
+		run("operator", c.Operator.Run)
 	}
 	group.Go(func() error {
 		select {
@@ -288,11 +349,7 @@
 		cancel()
 		return nil
 	})
-	err := group.Wait()
-	c.Logger.Info("daemon ends", zap.Error(err))
-	endOutput()
-	_ = outputGroup.Wait() // it returns no error
-	return err
+	return group.Wait()
 }
 
 // refusalCounter counts the readiness checks that were refused.
--- a/modules/spooler/spooler_test.go
+++ b/modules/spooler/spooler_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// TestLastLine guards against a process whose cause of its end is lost because the ring buffer is full.
+func TestLastLine(t *testing.T) {
+	var out bytes.Buffer
+	s := spooler.New(&out, 2)
+	for i := range 5 {
+		fmt.Fprintln(s, "line", i)
+	}
+	fmt.Fprintln(s.LastLine(), "cause")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := s.Run(ctx); err != nil {
+		t.Error(err)
+	}
+	if got := out.String(); got != "line 0\nline 1\ncause\n" {
+		t.Errorf("%q", got)
+	}
+}
+
 func BenchmarkWrite(b *testing.B) {
 	s := spooler.New(io.Discard, 0)
 	line := bytes.Repeat([]byte("x"), 300)
--- a/routers/peers/counts.go
+++ b/routers/peers/counts.go
@@ -69,7 +69,7 @@
 	}
 }
 
-func (c *counters) registerMetrics(m metric.Meter, zoneSize func() int) error {
+func (c *counters) registerMetrics(m metric.Meter, zoneSize func() int, r *restartCounter) error {
 	datagrams, err := m.Int64ObservableCounter("bluebelldyke.peer.datagrams", metric.WithDescription("peer datagrams by kind and direction"))
 	if err != nil {
 		return eris.Wrap(err, "register metric peer.datagrams")
@@ -86,6 +86,10 @@
 	if err != nil {
 		return eris.Wrap(err, "register metric peer.zone-members")
 	}
+	restarts, err := m.Int64ObservableCounter("bluebelldyke.peer.restarts", metric.WithDescription("restarts of other daemons by whether they had announced their stop"))
+	if err != nil {
+		return eris.Wrap(err, "register metric peer.restarts")
+	}
 	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		for k := packer.KindPing; k <= packer.KindNotice; k++ {
 			kind := attribute.String("kind", k.String())
@@ -101,7 +105,9 @@
 			o.ObserveInt64(drops, int64(n), metric.WithAttributes(attribute.String("cause", cause)))
 		}
 		o.ObserveInt64(members, int64(zoneSize()))
+		o.ObserveInt64(restarts, int64(r.planned.Load()), metric.WithAttributes(attribute.Bool("planned", true)))
+		o.ObserveInt64(restarts, int64(r.unplanned.Load()), metric.WithAttributes(attribute.Bool("planned", false)))
 		return nil
-	}, datagrams, bytes, drops, members)
+	}, datagrams, bytes, drops, members, restarts)
 	return eris.Wrap(err, "register the callback of the peer metrics")
 }
--- a/routers/peers/peers.go
+++ b/routers/peers/peers.go
@@ -96,6 +96,7 @@
 	documents Documents
 	reports   HealthReports
 	notices   NoticeHandler
+	restarts  restartCounter
 }
 
 // New opens the socket and returns a Peers.
@@ -128,7 +129,7 @@
 			Self: c.Advertise, AvailabilityZone: c.AvailabilityZone, Incarnation: c.Incarnation, Seeds: c.Seeds, Weak: c.Weak, FastDetection: c.FastDetection, Random: c.Random,
 		}),
 	}
-	if err := p.counters.registerMetrics(c.Meter, p.zoneSize); err != nil {
+	if err := p.counters.registerMetrics(c.Meter, p.zoneSize, &p.restarts); err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
 	return p, nil
@@ -230,6 +231,11 @@
 	p.mu.Lock()
 	p.gossiper.SetVersions(versions)
 	actions := step(now)
+	for _, a := range actions {
+		if changed, ok := a.(gossiper.MemberChanged); ok {
+			p.restarts.add(&changed.Member)
+		}
+	}
 	p.mu.Unlock()
 	for _, a := range actions {
 		switch a := a.(type) {
--- a/routers/peers/peers_test.go
+++ b/routers/peers/peers_test.go
@@ -50,16 +50,19 @@
 	return p
 }
 
-func run(t testing.TB, p *peers.Peers) {
+func run(t testing.TB, p *peers.Peers) { t.Cleanup(runUntil(t, p)) }
+
+// runUntil runs p until stop is called, which returns when p has ended.
+func runUntil(t testing.TB, p *peers.Peers) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return p.Run(ctx) })
-	t.Cleanup(func() {
+	return func() {
 		cancel()
 		if err := group.Wait(); err != nil {
 			t.Error(err)
 		}
-	})
+	}
 }
 
 func ExampleNew() {
