signaler: signals during the start and repeated ones don't end a daemon by default

What was seen: SIGHUP or SIGTERM that arrives before the daemon is assembled ends it by the default action (status 129, 143), so does a second SIGTERM during the drain, with the flows of the daemon. Under a share of a core the first window grows. Cause: SIGTERM was caught once the settings had been read, SIGHUP once all was assembled, and the first stop signal restored the default. Change: package signaler catches SIGHUP, SIGTERM and SIGINT while Go initialises packages, right after os/signal, and only for direct and serve. Package stopper handles them: SIGHUP before the reloader exists is kept, a stop before the daemon is assembled ends it with 0, a repeated SIGTERM changes nothing and is logged, a second SIGINT ends the process at once with 1. The reloader compares with the content that the settings in force were read from, so a change between the two reads of the file is not missed. direct states errors on its last log line, and on the standard error only if that line could not be written.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/runner"
 	"github.com/bluebelldyke/bluebelldyke/models/settings"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/inspector"
@@ -71,10 +72,17 @@
 	if err == nil && c != nil {
 		err = c.run(ctx, out)
 	}
+	if err != nil && !runner.IsErrLogged(err) {
+		printError(errOut, err)
+	}
+	return exitCode(err)
+}
+
+// exitCode returns the exit code that follows from an error.
+func exitCode(err error) int {
 	if err == nil {
 		return exitOK
 	}
-	printError(errOut, err)
 	if isInvalidInput(err) {
 		return exitUsage
 	}
--- a/cmd/direct.go
+++ b/cmd/direct.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"io"
-	"os/signal"
-	"syscall"
 
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/follower"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/runner"
+	"github.com/bluebelldyke/bluebelldyke/modules/signaler"
 	"github.com/bluebelldyke/bluebelldyke/platform"
 )
 
@@ -20,18 +20,12 @@
 		if config == "" {
 			return usageError("no --config, and the platform names no settings file: name one")
 		}
-		s, err := loader.Load(config)
-		if err != nil {
-			return err
-		}
-		store, err := platform.NewStore(platform.Config{URL: s.PlatformURL, Evacuations: s.EvacuationBound > 0})
-		if err != nil {
-			return err
-		}
-		ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-		defer stop()
-		// The first signal starts a graceful shutdown and restores the default action, so that a second one ends the process.
-		context.AfterFunc(ctx, stop)
-		return addBindRemedy(config, runner.Run(ctx, runner.Config{Settings: s, File: config, Source: store, Layout: platform.PacketLayout(), Version: Version}))
+		err := runner.Run(ctx, runner.Config{
+			File: config, Signals: signaler.Signals(), Layout: platform.PacketLayout(), Version: Version, ExitStatus: exitCode,
+			NewSource: func(s loader.Settings) (follower.Source, error) {
+				return platform.NewStore(platform.Config{URL: s.PlatformURL, Evacuations: s.EvacuationBound > 0})
+			},
+		})
+		return addBindRemedy(config, err)
 	}}
 }
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"io"
-	"os/signal"
+	"os"
 	"syscall"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
+	"github.com/bluebelldyke/bluebelldyke/modules/signaler"
+	"github.com/bluebelldyke/bluebelldyke/modules/stopper"
 	"github.com/bluebelldyke/bluebelldyke/routers/daemon"
 )
 
@@ -16,21 +19,37 @@
 
 func newServe() *command {
 	config := defaultConfigFile
-	flags := newSubcommand("serve", "Run a daemon until SIGTERM or SIGINT; a second signal ends it immediately.", "serve --config "+defaultConfigFile)
+	flags := newSubcommand("serve", "Run a daemon until SIGTERM or SIGINT; a second SIGINT ends it immediately.", "serve --config "+defaultConfigFile)
 	flags.String(&config, "c", "config", "File with the process settings.")
 	return &command{flags: flags, run: func(ctx context.Context, _ io.Writer) error {
 		s, err := configurer.Load(config)
 		if err != nil {
 			return err
 		}
-		ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-		defer stop()
-		// The first signal starts a graceful shutdown and restores the default action, so that a second one ends the process.
-		context.AfterFunc(ctx, stop)
-		return addBindRemedy(config, daemon.Run(ctx, s))
+		return addBindRemedy(config, runUntilStopped(ctx, signaler.Signals(), func(ctx context.Context) error { return daemon.Run(ctx, s) }))
 	}}
 }
 
+// runUntilStopped runs a daemon whose shutdown begins at the first stop signal. It does not wait for the daemon after a second SIGINT.
+func runUntilStopped(ctx context.Context, received <-chan os.Signal, run func(context.Context) error) error {
+	signals := stopper.New(ctx, received)
+	signalsCtx, endSignals := context.WithCancel(context.WithoutCancel(ctx))
+	defer endSignals()
+	var group errgroup.Group
+	group.Go(func() error { return signals.Run(signalsCtx) })
+	ended := make(chan error, 1)
+	group.Go(func() error {
+		ended <- run(signals.Stopping())
+		return nil
+	})
+	select {
+	case err := <-ended:
+		return err
+	case <-signals.Aborting().Done():
+		return eris.Wrap(context.Cause(signals.Aborting()), "the shutdown was cut short")
+	}
+}
+
 // addBindRemedy adds the remedy to an error from binding an address.
 func addBindRemedy(config string, err error) error {
 	switch {
--- a/internal/direct/reloader/reloader.go
+++ b/internal/direct/reloader/reloader.go
@@ -5,9 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +20,8 @@
 // Config holds the dependencies of a Reloader.
 type Config struct {
 	File string // path of the settings file; "" if the settings do not come from a file
+	// Content is the content of the file when the settings in force were read.
+	Content []byte
 	// Apply puts changed settings in force. It is called with valid settings only.
 	Apply  func(loader.Settings)
 	Logger *zap.Logger
@@ -30,31 +29,33 @@
 
 // Reloader polls the settings file and applies its changes.
 type Reloader struct {
-	c       Config
-	content []byte
-	signals chan os.Signal
+	c        Config
+	content  []byte
+	requests chan struct{}
 }
 
-// New returns a Reloader. From then on, SIGHUP does not end the process.
+// New returns a Reloader.
 func New(c Config) *Reloader {
-	r := &Reloader{c: c, signals: make(chan os.Signal, 1)}
-	signal.Notify(r.signals, syscall.SIGHUP)
-	if c.File != "" {
-		r.content, _ = configurer.ReadFile(c.File) // the caller has just read the file; Run logs a failure
+	return &Reloader{c: c, content: c.Content, requests: make(chan struct{}, 1)}
+}
+
+// Reload makes Run read the file at once. It does not wait.
+func (r *Reloader) Reload() {
+	select {
+	case r.requests <- struct{}{}:
+	default: // a request that is queued covers this one
 	}
-	return r
 }
 
 // Run reloads the settings until ctx ends.
 func (r *Reloader) Run(ctx context.Context) error {
-	defer signal.Stop(r.signals)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-r.signals:
+		case <-r.requests:
 			r.c.Logger.Info("SIGHUP received: reloading the settings")
 		case <-ticker.C:
 		}
--- /dev/null
+++ b/internal/direct/runner/process.go
@@ -0,0 +1,206 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/dig"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/follower"
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
+	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
+	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
+	"github.com/bluebelldyke/bluebelldyke/modules/stopper"
+)
+
+const (
+	// outputEndLimit is the longest wait for the log output at the end of the process.
+	outputEndLimit = 400 * time.Millisecond
+	// settingsWait is how long a starting daemon waits for valid settings: the file may be about to be written.
+	settingsWait = 0
+	// settingsRetryInterval is the interval at which it reads the file meanwhile.
+	settingsRetryInterval = 50 * time.Millisecond
+)
+
+// process identifies one run of a daemon. Peers take a higher incarnation at an address for a later process.
+type process struct {
+	version     string
+	startedAt   time.Time
+	incarnation uint64 // start time in Unix ms
+}
+
+func newProcess(c Config) process {
+	now := time.Now()
+	return process{version: c.Version, startedAt: now, incarnation: uint64(now.UnixMilli())}
+}
+
+// ErrLogged is an error that the last line of the log states.
+type ErrLogged struct{ Cause error }
+
+// Error returns the text of the cause.
+func (e *ErrLogged) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ErrLogged) Unwrap() error { return e.Cause }
+
+// IsErrLogged reports whether err is an ErrLogged.
+func IsErrLogged(err error) bool {
+	var logged *ErrLogged
+	return eris.As(err, &logged)
+}
+
+// settingsContent is the content of the settings file that is in force.
+type settingsContent []byte
+
+// Run runs a daemon until a signal or the end of ctx stops it and it has drained, or until a component fails.
+func Run(ctx context.Context, c Config) error {
+	log := startLog()
+	signals := stopper.New(ctx, c.Signals)
+	signals.SetLogger(log.logger)
+	signalsCtx, endSignals := context.WithCancel(context.WithoutCancel(ctx))
+	var group errgroup.Group
+	group.Go(func() error { return signals.Run(signalsCtx) })
+	err := start(c, log, signals)
+	logged := log.end(c, signals, err)
+	endSignals()
+	_ = group.Wait() // it returns no error
+	if err != nil && logged {
+		return &ErrLogged{err}
+	}
+	return err
+}
+
+// start reads the settings, binds the addresses, and assembles and runs the daemon.
+func start(c Config, log *logOutput, signals *stopper.Stopper) error {
+	p := newProcess(c)
+	settings, content, err := awaitSettings(signals.Stopping(), c.File, log.logger)
+	if signals.Stopping().Err() != nil {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if err := log.configure(settings); err != nil {
+		return err
+	}
+	signals.SetLogger(log.logger)
+	log.logger.Info("daemon starts", zap.String("vm", settings.VMName), zap.String("availability-zone", settings.AvailabilityZone),
+		zap.Int("process", os.Getpid()), zap.Uint64("incarnation", p.incarnation), zap.String("version", p.version))
+	source, err := c.NewSource(settings)
+	if err != nil {
+		return err
+	}
+	entry, err := transporter.Listen(settings.EntryBind)
+	if err != nil {
+		return err
+	}
+	defer entry.Close() // has no effect if Transporter.Run has closed it
+	var assembled components
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(c, p, settings, settingsContent(content), c.Layout, entry, log.logger, log.level, log.spooler),
+		fx.Provide(func() follower.Source { return source }, newRandom, newMetrics, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
+		fx.Invoke(func(in components) { assembled = in }),
+	)
+	if err := app.Err(); err != nil {
+		return dig.RootCause(err)
+	}
+	signals.OnReload(assembled.Reloader.Reload)
+	if err := assembled.run(signals.Stopping(), signals.Aborting()); err != nil {
+		return err
+	}
+	return eris.Wrap(context.Cause(signals.Aborting()), "the shutdown was cut short")
+}
+
+// awaitSettings reads the settings file. A file that is missing, empty or invalid is read again for settingsWait.
+func awaitSettings(ctx context.Context, file string, logger *zap.Logger) (loader.Settings, []byte, error) {
+	var latest []byte
+	var s loader.Settings
+	var err error
+	for deadline := time.Now().Add(settingsWait); ; {
+		content, readErr := configurer.ReadFile(file)
+		switch {
+		case readErr != nil:
+			err, latest = readErr, nil
+		case latest == nil || !bytes.Equal(content, latest):
+			latest = content
+			s, err = loader.Parse(file, content)
+		}
+		if err == nil {
+			return s, latest, nil
+		}
+		if !time.Now().Before(deadline) {
+			return s, nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return s, nil, context.Cause(ctx)
+		case <-time.After(settingsRetryInterval):
+		}
+	}
+}
+
+// logOutput writes the log of the process to the standard output.
+type logOutput struct {
+	spooler *spooler.Spooler
+	logger  *zap.Logger
+	level   zap.AtomicLevel
+	encoder zapcore.Encoder
+	cancel  context.CancelFunc
+	ended   chan struct{}
+}
+
+// startLog starts the log with the default settings.
+func startLog() *logOutput {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &logOutput{spooler: spooler.New(os.Stdout, 0), level: zap.NewAtomicLevel(), cancel: cancel, ended: make(chan struct{})}
+	l.encoder = zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	l.logger = zap.New(zapcore.NewCore(l.encoder, l.spooler, l.level))
+	var group errgroup.Group
+	group.Go(func() error {
+		defer close(l.ended)
+		return l.spooler.Run(ctx)
+	})
+	return l
+}
+
+// configure puts the level and the format of the settings in force.
+func (l *logOutput) configure(s loader.Settings) error {
+	level, err := zapcore.ParseLevel(s.Log.Level)
+	if err != nil {
+		return eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
+	}
+	l.level.SetLevel(level)
+	if s.Log.Format == "text" {
+		l.encoder = zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
+	}
+	l.logger = zap.New(zapcore.NewCore(l.encoder, l.spooler, l.level))
+	return nil
+}
+
+// end writes the last line of the process, whatever the log level is, and waits for the output for a limited time. It
+// returns false if nothing has read the line.
+func (l *logOutput) end(c Config, signals *stopper.Stopper, err error) bool {
+	cause := "failed"
+	if err == nil {
+		cause = context.Cause(signals.Stopping()).Error() // run ends only by an error or a stop
+	}
+	logger := zap.New(zapcore.NewCore(l.encoder, l.spooler.LastLine(), zapcore.DebugLevel))
+	logger.Info("daemon ends", zap.String("cause", cause), zap.Int("exit-status", c.ExitStatus(err)), zap.Error(err))
+	l.cancel()
+	select {
+	case <-l.ended:
+		return true
+	case <-time.After(outputEndLimit):
+		return false
+	}
+}
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -13,9 +13,7 @@
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/metric"
-	"go.uber.org/dig"
 	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
@@ -53,33 +51,23 @@
 	quietPeriod = 150 * time.Millisecond
 	// exitReserve is the part of the grace period that draining leaves for the exit of the process.
 	exitReserve = 500 * time.Millisecond
-	// outputEndLimit is the longest wait for the log output at the end of the process.
-	outputEndLimit = 400 * time.Millisecond
 )
 
-// Config holds the settings of a daemon and what depends on the platform.
+// Config holds what a daemon gets from the command line and what depends on the platform.
 type Config struct {
-	Settings loader.Settings
 	// File is the settings file. Changes of it are applied while the daemon runs.
-	File   string
-	Source follower.Source
-	Layout editor.Layout
+	File string
+	// NewSource returns the source of the documents that the settings name.
+	NewSource func(loader.Settings) (follower.Source, error)
+	Layout    editor.Layout
+	// Signals has the signals to the process; nil means none.
+	Signals <-chan os.Signal
+	// ExitStatus returns the exit status that follows from the error of Run.
+	ExitStatus func(error) int
 	// Version is the version of the program.
 	Version string
 }
 
-// process identifies one run of a daemon. Peers take a higher incarnation at an address for a later process.
-type process struct {
-	version     string
-	startedAt   time.Time
-	incarnation uint64 // start time in Unix ms
-}
-
-func newProcess(c Config) process {
-	now := time.Now()
-	return process{version: c.Version, startedAt: now, incarnation: uint64(now.UnixMilli())}
-}
-
 // components are the parts of a running daemon, as assembled by dependency injection.
 type components struct {
 	fx.In
@@ -97,30 +85,8 @@
 	Operator    *operator.Server // nil without an operator address
 }
 
-// Run runs a daemon until ctx ends and the daemon has drained, or until a component fails.
-func Run(ctx context.Context, c Config) error {
-	entry, err := transporter.Listen(c.Settings.EntryBind)
-	if err != nil {
-		return err
-	}
-	defer entry.Close() // has no effect if Transporter.Run has closed it
-	var assembled components
-	app := fx.New(
-		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(c, newProcess(c), c.Settings, c.Layout, entry),
-		fx.Provide(func() follower.Source { return c.Source }, newRandom, newSpooler, newLogger, newMetrics, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
-		fx.Invoke(func(in components) { assembled = in }),
-	)
-	if err := app.Err(); err != nil {
-		return dig.RootCause(err)
-	}
-	return assembled.run(ctx)
-}
-
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func newSpooler() *spooler.Spooler { return spooler.New(os.Stdout, 0) }
-
 // newMetrics returns the meter of the daemon and the handler of the metrics page.
 func newMetrics(output *spooler.Spooler, p process) (metric.Meter, http.Handler, error) {
 	provider, page, err := exposer.New()
@@ -144,21 +110,6 @@
 	return meter, page, eris.Wrap(err, "metric process.start-time")
 }
 
-func newLogger(s loader.Settings, output *spooler.Spooler) (*zap.Logger, zap.AtomicLevel, error) {
-	level, err := zap.ParseAtomicLevel(s.Log.Level)
-	if err != nil {
-		return nil, level, eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
-	}
-	return zap.New(zapcore.NewCore(newEncoder(s), output, level)), level, nil
-}
-
-func newEncoder(s loader.Settings) zapcore.Encoder {
-	if s.Log.Format == "text" {
-		return zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
-	}
-	return zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
-}
-
 func newRecorder(s loader.Settings, logger *zap.Logger, audit *auditor.Auditor) *recorder.Recorder {
 	return recorder.New(recorder.Config{Logger: logger, Audit: trail(audit), LinesPerSecond: s.Log.LinesPerSecond, BytesPerSecond: s.Log.BytesPerSecond})
 }
@@ -249,9 +200,8 @@
 	return t.AddAdmissionReport
 }
 
-func newReloader(c Config, level zap.AtomicLevel, p *peers.Peers, f *follower.Follower, logger *zap.Logger) *reloader.Reloader {
-	inForce := c.Settings
-	return reloader.New(reloader.Config{File: c.File, Logger: logger, Apply: func(s loader.Settings) {
+func newReloader(c Config, inForce loader.Settings, content settingsContent, level zap.AtomicLevel, p *peers.Peers, f *follower.Follower, logger *zap.Logger) *reloader.Reloader {
+	return reloader.New(reloader.Config{File: c.File, Content: content, Logger: logger, Apply: func(s loader.Settings) {
 		p.SetSeeds(s.Peer.Seeds)
 		f.SetSeeds(s.Peer.Seeds)
 		if l, err := zapcore.ParseLevel(s.Log.Level); err == nil { // the loader has validated the level
@@ -277,43 +227,9 @@
 	return n
 }
 
-// run runs the components. When ctx ends they continue until the daemon has drained.
-func (c *components) run(ctx context.Context) error {
-	outputCtx, endOutput := context.WithCancel(context.WithoutCancel(ctx))
-	defer endOutput()
-	outputEnded := make(chan struct{})
-	var outputGroup errgroup.Group
-	outputGroup.Go(func() error {
-		defer close(outputEnded)
-		return c.LogOutput.Run(outputCtx)
-	})
-	c.Logger.Info("daemon starts", zap.String("vm", c.Settings.VMName), zap.String("availability-zone", c.Settings.AvailabilityZone),
-		zap.Int("process", os.Getpid()), zap.Uint64("incarnation", c.Process.incarnation), zap.String("version", c.Process.version))
-	err := c.runComponents(ctx)
-	logEnd(c.Settings, c.LogOutput, ctx, err)
-	endOutput()
-	select {
-	case <-outputEnded:
-	case <-time.After(outputEndLimit): // nothing reads the output
-	}
-	return err
-}
-
-// logEnd writes the last line of the process, whatever the log level is.
-func logEnd(s loader.Settings, output *spooler.Spooler, ctx context.Context, err error) {
-	cause, status := "stopped", 0
-	if err != nil {
-		cause, status = "failed", 1
-	} else if stop := context.Cause(ctx); stop != nil {
-		cause = stop.Error()
-	}
-	logger := zap.New(zapcore.NewCore(newEncoder(s), output.LastLine(), zapcore.DebugLevel))
-	logger.Info("daemon ends", zap.String("cause", cause), zap.Int("exit-status", status), zap.Error(err))
-}
-
-// runComponents returns after the daemon has drained or when a component has failed.
-func (c *components) runComponents(ctx context.Context) error {
-	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+// run runs the components until the daemon has drained after ctx has ended, until abort ends, or until a component has failed.
+func (c *components) run(ctx, abort context.Context) error {
+	runCtx, cancel := context.WithCancel(abort)
 	defer cancel()
 	group, runCtx := errgroup.WithContext(runCtx)
 	run := func(name string, f func(context.Context) error) {
--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -82,6 +82,9 @@
 // Terminate sends SIGTERM, which requests a graceful shutdown.
 func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
 
+// Interrupt sends SIGINT. A second one ends the process at once.
+func (p *Process) Interrupt() { _ = p.cmd.Process.Signal(syscall.SIGINT) }
+
 // Hangup sends SIGHUP, on which a daemon reloads its settings.
 func (p *Process) Hangup() { _ = p.cmd.Process.Signal(syscall.SIGHUP) }
 
--- a/tests/integration/ends_test.go
+++ b/tests/integration/ends_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -41,6 +42,38 @@
 	Expect(last.ExitStatus).To(HaveValue(Equal(status)))
 }
 
+// heldSettings is a settings file that a starting daemon has to wait for.
+type heldSettings struct {
+	file    string
+	content []byte
+}
+
+// holdSettings replaces the settings file of a daemon by a pipe.
+func holdSettings(daemon *deployment.Daemon) heldSettings {
+	h := heldSettings{file: daemon.SettingsFile()}
+	var err error
+	h.content, err = os.ReadFile(h.file)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(os.Remove(h.file)).To(Succeed())
+	Expect(syscall.Mkfifo(h.file, 0o600)).To(Succeed())
+	return h
+}
+
+// await waits until the daemon reads its settings. The returned function provides them.
+func (h heldSettings) await() func() {
+	var pipe *os.File
+	Eventually(func() (err error) { // opening for writing fails while nothing reads
+		pipe, err = os.OpenFile(h.file, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		return err
+	}).WithTimeout(stepTimeout).WithPolling(time.Millisecond).Should(Succeed())
+	return func() {
+		Expect(os.WriteFile(h.file+".new", h.content, 0o600)).To(Succeed())
+		Expect(os.Rename(h.file+".new", h.file)).To(Succeed())
+		_, _ = pipe.Write(h.content) // fails if the process has ended, which the spec detects
+		Expect(pipe.Close()).To(Succeed())
+	}
+}
+
 var _ = Describe("the end of a process", func() {
 	// Guards against a process whose log does not tell why it ended.
 	It("is explained by the last line of the log", func() {
@@ -48,4 +81,67 @@
 		d.Daemons[0].Terminate()
 		expectEnd(d.Daemons[0], deployment.GracePeriod, 0, "terminated")
 	})
+
+	// Guards against a signal that ends a process by its default action because the daemon is not assembled yet. That takes longer on a
+	// share of a core.
+	DescribeTable("is not a signal during the start", func(run time.Duration) {
+		d := startDeployment()
+		daemon := d.Daemons[0]
+		daemon.Terminate()
+		expectEnd(daemon, deployment.GracePeriod, 0, "terminated")
+		startAndSignal := func(send func()) {
+			release := holdSettings(daemon)
+			Expect(d.StartDaemon(daemon)).To(Succeed())
+			if run > 0 {
+				DeferCleanup(daemon.Throttle(run))
+			}
+			settings := release.await()
+			send()
+			sleep(50 * time.Millisecond)
+			settings()
+		}
+		startAndSignal(func() { daemon.Terminate() })
+		expectEnd(daemon, stepTimeout, 0, "terminated")
+		startAndSignal(func() { daemon.Hangup() })
+		Expect(d.WaitReady(len(d.Daemons))).To(Succeed())
+		Expect(daemon.Running()).To(BeTrue())
+		content, err := os.ReadFile(daemon.LogFile)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(content)).To(ContainSubstring("SIGHUP received"))
+	},
+		Entry("on a core", time.Duration(0)),
+		Entry("at 8.8% of a core", 8800*time.Microsecond),
+		Entry("at 40% of a core", 40*time.Millisecond),
+	)
+
+	// Guards against flows that are cut off because a supervisor repeats SIGTERM, or because SIGHUP arrives during the drain.
+	It("does not come before the drain when signals are repeated", func() {
+		d := startDeployment()
+		before := d.Outcomes()
+		daemon := d.Daemons[0]
+		began := time.Now()
+		daemon.Terminate()
+		for range 3 {
+			sleep(100 * time.Millisecond)
+			daemon.Terminate()
+			daemon.Hangup()
+		}
+		expectEnd(daemon, deployment.GracePeriod, 0, "terminated")
+		Expect(time.Since(began)).To(BeNumerically(">", 500*time.Millisecond))
+		after := d.Outcomes()
+		Expect(after.Failed + after.Unopened + after.Resets - before.Failed - before.Unopened - before.Resets).To(BeZero())
+	})
+
+	// Guards against a process that an operator cannot end while it drains.
+	It("comes at once with a second SIGINT", func() {
+		d := startDeployment()
+		d.ForbidResets.Store(false)
+		daemon := d.Daemons[0]
+		daemon.Interrupt()
+		sleep(100 * time.Millisecond)
+		Expect(daemon.Running()).To(BeTrue())
+		daemon.Interrupt()
+		expectEnd(daemon, time.Second, 1, "failed")
+		Expect(readEnd(daemon).Error).To(ContainSubstring("interrupt signal received"))
+	})
 })
