runner: a starting daemon waits up to 2 s for valid settings

What was seen: a settings file that is missing, empty or incomplete at the moment of the start ends the process with 2, although the platform completes it shortly after. Cause: the file was read once. Change: it is read every 50 ms for up to 2 s; after that the process ends with 2 as before, at SIGTERM with 0. Measured: the spec "is not a settings file that is incomplete for half a second" (missing, empty, cut in half; then invalid for good) fails on the binary before and passes now.

--- a/internal/direct/runner/process.go
+++ b/internal/direct/runner/process.go
@@ -26,7 +26,7 @@
 	// outputEndLimit is the longest wait for the log output at the end of the process.
 	outputEndLimit = 400 * time.Millisecond
 	// settingsWait is how long a starting daemon waits for valid settings: the file may be about to be written.
-	settingsWait = 0
+	settingsWait = 2 * time.Second
 	// settingsRetryInterval is the interval at which it reads the file meanwhile.
 	settingsRetryInterval = 50 * time.Millisecond
 )
@@ -126,6 +126,7 @@
 	var latest []byte
 	var s loader.Settings
 	var err error
+	warned := false
 	for deadline := time.Now().Add(settingsWait); ; {
 		content, readErr := configurer.ReadFile(file)
 		switch {
@@ -141,6 +142,10 @@
 		if !time.Now().Before(deadline) {
 			return s, nil, err
 		}
+		if !warned {
+			warned = true
+			logger.Warn("no valid settings yet: reading the file again", zap.Duration("limit", settingsWait), zap.Error(err))
+		}
 		select {
 		case <-ctx.Done():
 			return s, nil, context.Cause(ctx)
--- a/tests/integration/ends_test.go
+++ b/tests/integration/ends_test.go
@@ -144,4 +144,35 @@
 		expectEnd(daemon, time.Second, 1, "failed")
 		Expect(readEnd(daemon).Error).To(ContainSubstring("interrupt signal received"))
 	})
+
+	// Guards against a process that ends because the platform is still writing its settings file, and against one that waits for ever for
+	// valid settings.
+	It("is not a settings file that is incomplete for half a second", func() {
+		d := startDeployment()
+		daemon := d.Daemons[0]
+		content, err := os.ReadFile(daemon.SettingsFile())
+		Expect(err).NotTo(HaveOccurred())
+		write := func(content []byte) { Expect(os.WriteFile(daemon.SettingsFile(), content, 0o600)).To(Succeed()) }
+		stop := func() {
+			daemon.Terminate()
+			expectEnd(daemon, deployment.GracePeriod, 0, "terminated")
+		}
+		for _, incomplete := range []func(){
+			func() { Expect(os.Remove(daemon.SettingsFile())).To(Succeed()) },
+			func() { write(nil) },
+			func() { write(content[:len(content)/2]) },
+		} {
+			stop()
+			incomplete()
+			Expect(d.StartDaemon(daemon)).To(Succeed())
+			sleep(500 * time.Millisecond)
+			write(content)
+			Expect(d.WaitReady(len(d.Daemons))).To(Succeed())
+		}
+		stop()
+		write(content[:len(content)/2])
+		Expect(d.StartDaemon(daemon)).To(Succeed())
+		expectEnd(daemon, stepTimeout, 2, "failed")
+		Expect(readEnd(daemon).Error).To(ContainSubstring("correct the TOML syntax"))
+	})
 })
