runner: a held address doesn't end a daemon

What was seen: direct ends at once with 1 if another process holds its entry, readiness, peer or operator address, as its predecessor does while it drains; a listener or a peer socket that fails later ends the daemon or leaves it deaf, and a permanent read error keeps a core busy. Cause: the addresses were bound once; errors of accept went up to the runner; the read loops went on without a pause. Change: direct binds entry, readiness and peer in this order with package binder and waits for those that are held; it stops at SIGTERM meanwhile. Metrics and operator address (the latter also of serve) are bound in the background, and taken when they are free. binder.Socket pauses after failed reads and opens itself again, binder.KeepServing does so for listeners. Peers pauses after failed reads of other sockets. Measured: five specs "is not an address ..." (predecessor that drains; entry, peer, readiness, operator held, with SIGTERM meanwhile) fail on the binary before and pass now.

--- a/cmd/direct.go
+++ b/cmd/direct.go
@@ -20,12 +20,11 @@
 		if config == "" {
 			return usageError("no --config, and the platform names no settings file: name one")
 		}
-		err := runner.Run(ctx, runner.Config{
+		return runner.Run(ctx, runner.Config{
 			File: config, Signals: signaler.Signals(), Layout: platform.PacketLayout(), Version: Version, ExitStatus: exitCode,
 			NewSource: func(s loader.Settings) (follower.Source, error) {
 				return platform.NewStore(platform.Config{URL: s.PlatformURL, Evacuations: s.EvacuationBound > 0})
 			},
 		})
-		return addBindRemedy(config, err)
 	}}
 }
--- a/internal/direct/responder/responder.go
+++ b/internal/direct/responder/responder.go
@@ -9,9 +9,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebelldyke/bluebelldyke/modules/binder"
 )
 
 // headerTimeout limits the time for reading the header of a request, so that idle connections do not accumulate.
@@ -19,8 +20,8 @@
 
 // Config holds the addresses and dependencies of a Responder.
 type Config struct {
-	// ReadinessBind is the address of the readiness checks. It serves MetricsPage too, at /metrics.
-	ReadinessBind netip.AddrPort
+	// Readiness is the listener for the readiness checks. It serves MetricsPage too, at /metrics.
+	Readiness net.Listener
 	// MetricsBind is a further address that serves MetricsPage only; the zero value means none.
 	MetricsBind netip.AddrPort
 	// MetricsPage renders the metrics; nil means that they are not served.
@@ -30,51 +31,25 @@
 
 // Responder answers readiness checks and serves the metrics page.
 type Responder struct {
-	listeners []net.Listener // of the readiness checks first, then of the metrics if they have their own address
-	servers   []*http.Server // each serves the listener with the same index
-	ready     atomic.Bool
-	refusals  atomic.Uint64
-}
-
-// New binds the addresses. At the readiness address, every path but /metrics is a readiness check.
-func New(c Config) (*Responder, error) {
-	r := &Responder{}
-	mux := http.NewServeMux()
-	mux.HandleFunc("/", r.answerReadiness)
-	if c.MetricsPage != nil {
-		mux.Handle("GET /metrics", c.MetricsPage)
-	}
-	if err := r.listen("readiness.bind", c.ReadinessBind, mux, c.Logger); err != nil {
-		return nil, err
-	}
-	if !c.MetricsBind.IsValid() || c.MetricsPage == nil {
-		return r, nil
-	}
-	metricsMux := http.NewServeMux()
-	metricsMux.Handle("GET /metrics", c.MetricsPage)
-	if err := r.listen("metrics.bind", c.MetricsBind, metricsMux, c.Logger); err != nil {
-		// The readiness address serves the metrics too, and the daemon must forward packets even if the second address is taken.
-		c.Logger.Warn("metrics address not bound: metrics are served at the readiness address only", zap.Error(err))
-	}
-	return r, nil
+	c              Config
+	ready          atomic.Bool
+	refusals       atomic.Uint64
+	metricsAddress atomic.Pointer[netip.AddrPort]
 }
 
-// listen binds an address and prepares its server. The key is that of the address in the settings.
-func (r *Responder) listen(key string, bind netip.AddrPort, handler http.Handler, logger *zap.Logger) error {
-	l, err := net.Listen("tcp4", bind.String())
-	if err != nil {
-		return eris.Wrapf(err, "listen on TCP %s: end the process that uses it or change %s", bind, key)
-	}
-	r.listeners = append(r.listeners, l)
-	r.servers = append(r.servers, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(logger)})
-	return nil
-}
+// New returns a Responder. At the readiness address, every path but /metrics is a readiness check.
+func New(c Config) *Responder { return &Responder{c: c} }
 
 // ReadinessAddress returns the bound address of the readiness checks.
-func (r *Responder) ReadinessAddress() netip.AddrPort { return address(r.listeners[0]) }
+func (r *Responder) ReadinessAddress() netip.AddrPort { return address(r.c.Readiness) }
 
-// MetricsAddress returns the bound address of the metrics page: that of the readiness checks if it has no other.
-func (r *Responder) MetricsAddress() netip.AddrPort { return address(r.listeners[len(r.listeners)-1]) }
+// MetricsAddress returns the bound address of the metrics page: that of the readiness checks while it has no other.
+func (r *Responder) MetricsAddress() netip.AddrPort {
+	if a := r.metricsAddress.Load(); a != nil {
+		return *a
+	}
+	return r.ReadinessAddress()
+}
 
 func address(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
 
@@ -94,18 +69,47 @@
 	r.refusals.Add(1)
 }
 
-// Run serves the bound addresses until ctx ends.
+// Run serves the addresses until ctx ends. The daemon does not depend on the further address of the metrics page, which is bound when it
+// is free.
 func (r *Responder) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	for i, server := range r.servers {
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", r.answerReadiness)
+	if r.c.MetricsPage != nil {
+		mux.Handle("GET /metrics", r.c.MetricsPage)
+	}
+	readiness := binder.Config{Bind: r.ReadinessAddress(), Network: "tcp4", Key: "readiness.bind", Logger: r.c.Logger}
+	group.Go(func() error {
+		return binder.KeepServing(ctx, readiness, r.c.Readiness, func(l net.Listener) error { return r.serve(ctx, l, mux) })
+	})
+	if r.c.MetricsBind.IsValid() && r.c.MetricsPage != nil {
 		group.Go(func() error {
-			if err := server.Serve(r.listeners[i]); err != nil && !eris.Is(err, http.ErrServerClosed) {
-				return eris.Wrap(err, "serve readiness checks and metrics")
-			}
+			r.serveMetrics(ctx)
 			return nil
 		})
 	}
 	return group.Wait()
 }
+
+func (r *Responder) serveMetrics(ctx context.Context) {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", r.c.MetricsPage)
+	c := binder.Config{Bind: r.c.MetricsBind, Network: "tcp4", Key: "metrics.bind", Logger: r.c.Logger}
+	err := binder.KeepServing(ctx, c, nil, func(l net.Listener) error {
+		bound := address(l)
+		r.metricsAddress.Store(&bound)
+		defer r.metricsAddress.Store(nil)
+		return r.serve(ctx, l, mux)
+	})
+	if err != nil {
+		r.c.Logger.Warn("metrics address not bound: metrics are served at the readiness address only", zap.Error(err))
+	}
+}
+
+// serve serves the listener until ctx ends or the listener fails.
+func (r *Responder) serve(ctx context.Context, l net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(r.c.Logger)}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return server.Serve(l)
+}
--- a/internal/direct/runner/operator.go
+++ b/internal/direct/runner/operator.go
@@ -1,7 +1,7 @@
 package runner
 
 import (
-	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/follower"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
@@ -34,11 +34,10 @@
 	})
 }
 
-// newOperator binds the operator address. It returns nil if the settings name none.
-func newOperator(s loader.Settings, summary *summarizer.Summarizer) (*operator.Server, error) {
+// newOperator returns the server of the operator address, nil if the settings name none.
+func newOperator(s loader.Settings, summary *summarizer.Summarizer, logger *zap.Logger) *operator.Server {
 	if !s.OperatorBind.IsValid() {
-		return nil, nil
+		return nil
 	}
-	server, err := operator.New(operator.Config{Bind: s.OperatorBind, Status: summary, Audit: summary})
-	return server, eris.Wrapf(err, "listen on TCP %s: end the process that uses it or change operator.bind", s.OperatorBind)
+	return operator.New(operator.Config{Bind: s.OperatorBind, Status: summary, Audit: summary, Logger: logger})
 }
--- a/internal/direct/runner/process.go
+++ b/internal/direct/runner/process.go
@@ -16,7 +16,6 @@
 
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/follower"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
-	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
 	"github.com/bluebelldyke/bluebelldyke/modules/stopper"
@@ -99,16 +98,18 @@
 	if err != nil {
 		return err
 	}
-	entry, err := transporter.Listen(settings.EntryBind)
+	bound, err := bind(signals.Stopping(), settings, log.logger)
+	if signals.Stopping().Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
-	defer entry.Close() // has no effect if Transporter.Run has closed it
 	var assembled components
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(c, p, settings, settingsContent(content), c.Layout, entry, log.logger, log.level, log.spooler),
-		fx.Provide(func() follower.Source { return source }, newRandom, newMetrics, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
+		fx.Supply(c, p, settings, settingsContent(content), c.Layout, log.logger, log.level, log.spooler),
+		fx.Provide(func() follower.Source { return source }, bound.provide, newRandom, newMetrics, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
 		fx.Invoke(func(in components) { assembled = in }),
 	)
 	if err := app.Err(); err != nil {
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -123,7 +123,7 @@
 }
 
 func newTransporter(
-	s loader.Settings, entry *net.UDPConn, layout editor.Layout, random *rand.Rand, records *recorder.Recorder, meter metric.Meter,
+	s loader.Settings, entry transporter.Conn, layout editor.Layout, random *rand.Rand, records *recorder.Recorder, meter metric.Meter,
 ) (*transporter.Transporter, error) {
 	t := transporter.New(transporter.Config{
 		EntryConn: entry, Layout: layout, Steerer: steerer.New(steerer.Config{
@@ -138,9 +138,9 @@
 	return t, t.RegisterMetrics(meter)
 }
 
-func newPeers(s loader.Settings, process process, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
+func newPeers(s loader.Settings, process process, socket peers.Conn, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
 	return peers.New(peers.Config{
-		Bind: s.Peer.Bind, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: process.incarnation,
+		Conn: socket, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: process.incarnation,
 		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Weak: s.Peer.Weak, FastDetection: s.Peer.FastDetection, Logger: logger, Meter: meter, Random: newRandom(),
 	})
 }
@@ -212,8 +212,8 @@
 	}})
 }
 
-func newResponder(s loader.Settings, page http.Handler, logger *zap.Logger) (*responder.Responder, error) {
-	return responder.New(responder.Config{ReadinessBind: s.ReadinessBind, MetricsBind: s.MetricsBind, MetricsPage: page, Logger: logger})
+func newResponder(s loader.Settings, readiness net.Listener, page http.Handler, logger *zap.Logger) *responder.Responder {
+	return responder.New(responder.Config{Readiness: readiness, MetricsBind: s.MetricsBind, MetricsPage: page, Logger: logger})
 }
 
 // countBefore returns the number of members whose address is lower than that of this daemon.
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -11,11 +11,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/recorder"
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
+	"github.com/bluebelldyke/bluebelldyke/modules/binder"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
 	"github.com/bluebelldyke/bluebelldyke/modules/sleeper"
 	"github.com/bluebelldyke/bluebelldyke/services/estimator"
@@ -53,10 +54,18 @@
 	viewParts         = 2
 )
 
+// Conn is the part of a UDP socket that a Transporter uses.
+type Conn interface {
+	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	LocalAddr() net.Addr
+	Close() error
+}
+
 // Config holds the dependencies of a Transporter.
 type Config struct {
-	// EntryConn is the entry socket as returned by Listen. Run closes it when it ends.
-	EntryConn *net.UDPConn
+	// EntryConn is the entry socket. Run closes it when it ends.
+	EntryConn Conn
 	Layout    editor.Layout
 	Steerer   *steerer.Steerer
 	// Recorder logs the decisions and the changes of the view.
@@ -72,7 +81,7 @@
 // Transporter forwards packets of callers.
 type Transporter struct {
 	c    Config
-	conn *net.UDPConn
+	conn Conn
 	port uint16 // of the entry socket
 
 	started time.Time
@@ -100,14 +109,12 @@
 }
 
 // Listen binds the entry socket. A starting daemon does this first: packets that arrive earlier are lost, later ones wait in the
-// socket's buffer until the daemon can decide about them.
-func Listen(bind netip.AddrPort) (*net.UDPConn, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(bind))
-	if err != nil {
-		return nil, eris.Wrapf(err, "listen on UDP %s: end the process that uses it or change entry.bind", bind)
-	}
-	_ = conn.SetReadBuffer(receiveBuffer) // with a smaller buffer, bursts only lose packets earlier
-	return conn, nil
+// socket's buffer until the daemon can decide about them. It waits while another process holds the address.
+func Listen(ctx context.Context, bind netip.AddrPort, logger *zap.Logger) (*binder.Socket, error) {
+	c := binder.Config{Bind: bind, Network: "udp4", Key: "entry.bind", Logger: logger}
+	return binder.OpenSocket(ctx, c, func(conn *net.UDPConn) {
+		_ = conn.SetReadBuffer(receiveBuffer) // with a smaller buffer, bursts only lose packets earlier
+	})
 }
 
 // New returns a Transporter that forwards the packets of the entry socket once Run is called.
--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -221,8 +221,8 @@
 	}
 }
 
-func newOperator(s configurer.Settings, status *status) (*operator.Server, error) {
-	return operator.New(operator.Config{Bind: s.Operator.Bind, Status: status, Audit: status})
+func newOperator(s configurer.Settings, status *status, logger *zap.Logger) *operator.Server {
+	return operator.New(operator.Config{Bind: s.Operator.Bind, Status: status, Audit: status, Logger: logger})
 }
 
 // localAddress returns the address to which the socket to backend servers is bound.
--- a/routers/operator/server.go
+++ b/routers/operator/server.go
@@ -6,13 +6,16 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bluebelldyke/bluebelldyke/modules/binder"
 	"github.com/bluebelldyke/bluebelldyke/services/auditor"
 )
 
@@ -27,55 +30,59 @@
 	Bind   netip.AddrPort
 	Status StatusSource
 	Audit  AuditSource
+	Logger *zap.Logger
 }
 
 // Server answers queries at the operator address.
 type Server struct {
-	status   StatusSource
-	audit    AuditSource
-	listener net.Listener
+	c       Config
+	address atomic.Pointer[netip.AddrPort]
 }
 
-// New returns a Server that listens on the operator address already, so that a daemon reports an address in use before it starts
-// anything else.
-func New(c Config) (*Server, error) {
-	listener, err := net.Listen("tcp", c.Bind.String())
-	if err != nil {
-		return nil, eris.Wrap(err, "listen on the operator address")
-	}
-	return &Server{status: c.Status, audit: c.Audit, listener: netutil.LimitListener(listener, maxConnections)}, nil
-}
+// New returns a Server.
+func New(c Config) *Server { return &Server{c: c} }
 
-// Address returns the bound address.
+// Address returns the bound address, the zero value while it is not bound.
 func (s *Server) Address() netip.AddrPort {
-	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+	if a := s.address.Load(); a != nil {
+		return *a
+	}
+	return netip.AddrPort{}
 }
 
-// Run answers queries until ctx ends, and then closes all connections.
+// Run answers queries until ctx ends, and then closes all connections. The daemon does not depend on the operator address, which is bound
+// when it is free.
 func (s *Server) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		<-ctx.Done()
-		return s.listener.Close()
-	})
-	group.Go(func() error {
-		for {
-			stream, err := s.listener.Accept()
-			if ctx.Err() != nil {
-				return nil
-			}
-			if err != nil {
-				return eris.Wrap(err, "accept a connection at the operator address")
-			}
-			group.Go(func() error {
-				s.serve(ctx, stream)
-				return nil
-			})
+		c := binder.Config{Bind: s.c.Bind, Network: "tcp", Key: "operator.bind", Logger: s.c.Logger}
+		if err := binder.KeepServing(ctx, c, nil, func(l net.Listener) error { return s.accept(ctx, group, l) }); err != nil {
+			s.c.Logger.Warn("operator address not bound: queries are not answered", zap.Error(err))
 		}
+		return nil
 	})
 	return group.Wait()
 }
 
+// accept accepts connections until ctx ends or the listener fails.
+func (s *Server) accept(ctx context.Context, group *errgroup.Group, listener net.Listener) error {
+	bound := listener.Addr().(*net.TCPAddr).AddrPort()
+	s.address.Store(&bound)
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	limited := netutil.LimitListener(listener, maxConnections)
+	for {
+		stream, err := limited.Accept()
+		if err != nil {
+			return eris.Wrap(err, "accept a connection at the operator address")
+		}
+		group.Go(func() error {
+			s.serve(ctx, stream)
+			return nil
+		})
+	}
+}
+
 // serve answers the queries of one connection. An invalid message closes only that connection.
 func (s *Server) serve(ctx context.Context, stream net.Conn) {
 	if stream.SetDeadline(time.Now().Add(connectionTimeout)) != nil {
@@ -93,13 +100,13 @@
 func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	switch r.Method {
 	case methodStatus:
-		return statusToWire(s.status.Status()), nil
+		return statusToWire(s.c.Status.Status()), nil
 	case methodAudit:
 		var query wireAuditQuery
 		if r.Params == nil || json.Unmarshal(*r.Params, &query) != nil || query.Newest < 1 || query.Newest > MaxAuditEntries {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: fmt.Sprintf("newest must be a number from 1 to %d", MaxAuditEntries)}
 		}
-		return entriesToWire(s.audit.NewestEntries(query.Newest)), nil
+		return entriesToWire(s.c.Audit.NewestEntries(query.Newest)), nil
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method + ": use status or audit"}
 	}
--- a/routers/peers/peers.go
+++ b/routers/peers/peers.go
@@ -24,6 +24,9 @@
 // gateForwardCapacity limits the forwarded caller datagrams that wait to be processed here: a burst of about 1.5 MB.
 const gateForwardCapacity = 1024
 
+// readErrorPause is the pause after a failed read.
+const readErrorPause = time.Millisecond
+
 // Conn is the part of *net.UDPConn that Peers uses.
 type Conn interface {
 	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
@@ -191,6 +194,7 @@
 			}
 			// The error may be an ICMP error for an earlier datagram, after which the socket is still usable.
 			p.counters.readErrors.Add(1)
+			time.Sleep(readErrorPause) // a permanent error must not keep a core busy
 			continue
 		}
 		p.handleDatagram(buffer[:n])
--- a/tests/integration/ends_test.go
+++ b/tests/integration/ends_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"io"
+	"net"
+	"net/netip"
 	"os"
 	"strings"
 	"syscall"
@@ -175,4 +178,65 @@
 		expectEnd(daemon, stepTimeout, 2, "failed")
 		Expect(readEnd(daemon).Error).To(ContainSubstring("correct the TOML syntax"))
 	})
+
+	// Guards against a process that ends because its predecessor, which drains, still holds the addresses.
+	It("is not an address that the draining predecessor holds", func() {
+		d := startDeployment()
+		before := d.Outcomes()
+		predecessor, successor := d.Daemons[0], *d.Daemons[0]
+		successor.Name += "-successor"
+		predecessor.Terminate()
+		Expect(d.StartDaemon(&successor)).To(Succeed())
+		expectEnd(predecessor, deployment.GracePeriod, 0, "terminated")
+		d.Daemons[0] = &successor
+		Expect(d.WaitReady(len(d.Daemons))).To(Succeed())
+		Expect(successor.Running()).To(BeTrue())
+		content, err := os.ReadFile(successor.LogFile)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(content)).To(ContainSubstring("end the process that uses it or change entry.bind"))
+		sleep(time.Second)
+		after := d.Outcomes()
+		Expect(after.Failed + after.Unopened + after.Resets - before.Failed - before.Unopened - before.Resets).To(BeZero())
+	})
+
+	// Guards against a process that ends, or that cannot be stopped, while something else holds one of its addresses.
+	DescribeTable("is not an address that another process holds", func(hold func(*deployment.Daemon) io.Closer, needed bool) {
+		d := startDeployment()
+		daemon := d.Daemons[0]
+		for _, stopWhileHeld := range []bool{true, false} {
+			daemon.Terminate()
+			expectEnd(daemon, deployment.GracePeriod, 0, "terminated")
+			holder := hold(daemon)
+			Expect(d.StartDaemon(daemon)).To(Succeed())
+			sleep(500 * time.Millisecond)
+			Expect(daemon.Running()).To(BeTrue())
+			if !needed {
+				Expect(d.WaitReady(len(d.Daemons))).To(Succeed())
+			}
+			if stopWhileHeld {
+				daemon.Terminate()
+				expectEnd(daemon, deployment.GracePeriod, 0, "terminated")
+				Expect(d.StartDaemon(daemon)).To(Succeed())
+			}
+			Expect(holder.Close()).To(Succeed())
+			Expect(d.WaitReady(len(d.Daemons))).To(Succeed())
+		}
+	},
+		Entry("entry", func(d *deployment.Daemon) io.Closer { return holdDatagrams(d.EntryAddress) }, true),
+		Entry("peer", func(d *deployment.Daemon) io.Closer { return holdDatagrams(d.PeerAddress) }, true),
+		Entry("readiness", func(d *deployment.Daemon) io.Closer { return holdStreams(d.ReadinessAddress()) }, true),
+		Entry("operator", func(d *deployment.Daemon) io.Closer { return holdStreams(d.OperatorAddress) }, false),
+	)
 })
+
+func holdDatagrams(address netip.AddrPort) io.Closer {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	Expect(err).NotTo(HaveOccurred())
+	return conn
+}
+
+func holdStreams(address netip.AddrPort) io.Closer {
+	listener, err := net.Listen("tcp4", address.String())
+	Expect(err).NotTo(HaveOccurred())
+	return listener
+}
