loader: figures of the platform out of range don't keep a daemon from starting

What was seen: the template renders the bounds and the grace period from figures of the platform, whole numbers or fractions. A bound under 1 s, a grace period under 1 s or over 1 h, or a slack of 0 made the process end with 2 at each start. Cause: the limits of the loader were those of useful values, and a value outside them was an error. A grace period of 0.1 s or more is taken as it is; the drain leaves half of a short one for the exit. Existing test: TestInvalidSettings required an error for leaving = "1ms" and evacuation = "1ms". TestPlatformFigures requires the adjusted value and its warning for these; TestInvalidSettings requires errors for a negative bound and one without a unit instead.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -95,6 +95,11 @@
 		b, err := json.MarshalIndent(map[string]string{"file": o.file, "name": s.VMName, "availability-zone": s.AvailabilityZone}, "", "  ")
 		return writeJSON(out, b, err)
 	}
+	for _, a := range s.Adjustments {
+		if _, err := fmt.Fprintf(out, "%s: %s: %s is out of range: %s is used\n", o.file, a.Key, a.Stated, a.Used); err != nil {
+			return eris.Wrap(err, "write the output")
+		}
+	}
 	_, err = fmt.Fprintf(out, "%s: valid: daemon %s in availability zone %s\n", o.file, s.VMName, s.AvailabilityZone)
 	return eris.Wrap(err, "write the output")
 }
--- a/internal/direct/loader/loader.go
+++ b/internal/direct/loader/loader.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"reflect"
 	"time"
@@ -14,7 +15,7 @@
 
 // Limits and defaults of settings.
 const (
-	minGrace = time.Second
+	minGrace = 100 * time.Millisecond
 	maxGrace = time.Hour
 	// minBound leaves room for a call to the platform that takes half a second and a retry.
 	minBound = time.Second
@@ -76,8 +77,14 @@
 	// only the load decides.
 	CrossZoneMargin time.Duration
 	Log             Log
+	// Adjustments are the settings out of range that were replaced by the nearest permitted value.
+	Adjustments []Adjustment
 }
 
+// Adjustment is a setting whose stated value is out of range. The platform renders these settings from its own figures, so that one out of
+// range must not keep a daemon from starting.
+type Adjustment struct{ Key, Stated, Used string }
+
 // ColdLimit limits the new flows that a backend server gets in any second while it warms up, from all daemons together, to Overage times
 // the rate that the configuration states for its service, plus Slack. The zero value means no limit.
 type ColdLimit struct{ Overage, Slack float64 }
@@ -120,7 +127,8 @@
 // NeedsRestart reports whether settings changed that take effect only after a restart: all but the seeds and the log level.
 func (s *Settings) NeedsRestart(before *Settings) bool {
 	a, b := *s, *before
-	a.Peer.Seeds, a.Log.Level, b.Peer.Seeds, b.Log.Level = nil, "", nil, ""
+	a.Peer.Seeds, a.Log.Level, a.Adjustments = nil, "", nil
+	b.Peer.Seeds, b.Log.Level, b.Adjustments = nil, "", nil
 	return !reflect.DeepEqual(a, b)
 }
 
@@ -143,7 +151,7 @@
 	}
 	s.Peer = readPeer(root.Table("peer"))
 	s.PlatformURL = configurer.ReadPlatform(root.Table("platform")).URL
-	s.GracePeriod = readGracePeriod(root.Table("stop"))
+	s.GracePeriod = readGracePeriod(root.Table("stop"), &s)
 	readBounds(root.Table("bounds"), &s)
 	readAdmission(root.Table("admission"), &s)
 	readPlacement(root.Table("placement"), &s)
@@ -200,28 +208,54 @@
 	return p
 }
 
-func readGracePeriod(t *inspector.Table) time.Duration {
+func readGracePeriod(t *inspector.Table, s *Settings) time.Duration {
 	t.Require("write the time between the signal to stop and the forced end of the process", "grace")
-	grace, _ := t.Duration("grace", minGrace, maxGrace)
+	grace := s.readDuration(t, "stop", "grace", minGrace, maxGrace)
 	t.RejectUnknownKeys()
 	return grace
 }
 
 func readBounds(t *inspector.Table, s *Settings) {
 	t.Require("write the longest time until a change is in force", "leaving", "configuration")
-	s.LeavingBound, _ = t.Duration("leaving", minBound, maxBound)
-	s.ConfigurationBound, _ = t.Duration("configuration", minBound, maxBound)
+	s.LeavingBound = s.readDuration(t, "bounds", "leaving", minBound, maxBound)
+	s.ConfigurationBound = s.readDuration(t, "bounds", "configuration", minBound, maxBound)
 	if t.Has("evacuation") {
-		s.EvacuationBound, _ = t.Duration("evacuation", minBound, maxBound)
+		s.EvacuationBound = s.readDuration(t, "bounds", "evacuation", minBound, maxBound)
 	}
 	if t.Has("warm-up-overage") || t.Has("warm-up-slack") {
 		t.Require("write both figures of the limit, or none of them", "warm-up-overage", "warm-up-slack")
-		s.ColdLimit.Overage, _ = t.Number("warm-up-overage", 0, maxOverage)
-		s.ColdLimit.Slack, _ = t.Number("warm-up-slack", 1, maxSlack)
+		s.ColdLimit.Overage = s.readNumber(t, "bounds", "warm-up-overage", 0, maxOverage)
+		s.ColdLimit.Slack = s.readNumber(t, "bounds", "warm-up-slack", 1, maxSlack)
 	}
 	t.RejectUnknownKeys()
 }
 
+// readDuration reads a duration that is not negative and adjusts it to the limits.
+func (s *Settings) readDuration(t *inspector.Table, table, key string, low, high time.Duration) time.Duration {
+	stated, ok := t.Duration(key, 0, math.MaxInt64)
+	if !ok {
+		return 0
+	}
+	used := min(max(stated, low), high)
+	if used != stated {
+		s.Adjustments = append(s.Adjustments, Adjustment{Key: table + "." + key, Stated: stated.String(), Used: used.String()})
+	}
+	return used
+}
+
+// readNumber reads a number that is not negative and adjusts it to the limits.
+func (s *Settings) readNumber(t *inspector.Table, table, key string, low, high float64) float64 {
+	stated, ok := t.Number(key, 0, math.MaxFloat64)
+	if !ok {
+		return 0
+	}
+	used := min(max(stated, low), high)
+	if used != stated {
+		s.Adjustments = append(s.Adjustments, Adjustment{Key: table + "." + key, Stated: fmt.Sprint(stated), Used: fmt.Sprint(used)})
+	}
+	return used
+}
+
 // readSwitch reads a table whose only key switches a feature on.
 func readSwitch(t *inspector.Table, key string) bool {
 	on, _ := t.Boolean(key)
--- a/internal/direct/runner/process.go
+++ b/internal/direct/runner/process.go
@@ -94,6 +94,7 @@
 	signals.SetLogger(log.logger)
 	log.logger.Info("daemon starts", zap.String("vm", settings.VMName), zap.String("availability-zone", settings.AvailabilityZone),
 		zap.Int("process", os.Getpid()), zap.Uint64("incarnation", p.incarnation), zap.String("version", p.version))
+	logAdjustments(log.logger, settings)
 	source, err := c.NewSource(settings)
 	if err != nil {
 		return err
@@ -155,6 +156,12 @@
 	}
 }
 
+func logAdjustments(logger *zap.Logger, s loader.Settings) {
+	for _, a := range s.Adjustments {
+		logger.Warn("setting out of range: the nearest permitted value is used", zap.String("key", a.Key), zap.String("stated", a.Stated), zap.String("used", a.Used))
+	}
+}
+
 // logOutput writes the log of the process to the standard output.
 type logOutput struct {
 	spooler *spooler.Spooler
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -49,7 +49,7 @@
 	// other daemons arrive within this time. With fewer than half of the zone's daemons in rotation the fabric sends to all of them,
 	// including those that refuse readiness checks.
 	quietPeriod = 150 * time.Millisecond
-	// exitReserve is the part of the grace period that draining leaves for the exit of the process.
+	// exitReserve is the part of the grace period that draining leaves for the exit of the process, half of a shorter one at most.
 	exitReserve = 500 * time.Millisecond
 )
 
@@ -207,6 +207,7 @@
 		if l, err := zapcore.ParseLevel(s.Log.Level); err == nil { // the loader has validated the level
 			level.SetLevel(l)
 		}
+		logAdjustments(logger, s)
 		logger.Info("changed settings are in force", zap.Stringers("seeds", s.Peer.Seeds), zap.Bool("restart-needed", s.NeedsRestart(&inForce)))
 		inForce = s
 	}})
@@ -313,5 +314,5 @@
 	c.Transporter.ForwardHeld()
 	c.Responder.SetReady(false)
 	c.Peers.Leave()
-	c.Logger.Info("daemon leaves", zap.Stringer("reason", awaitDrained(ctx, c.Settings.GracePeriod-exitReserve, c.Responder, c.Transporter)))
+	c.Logger.Info("daemon leaves", zap.Stringer("reason", awaitDrained(ctx, c.Settings.GracePeriod-min(exitReserve, c.Settings.GracePeriod/2), c.Responder, c.Transporter)))
 }
