--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -11,10 +11,13 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/bluebelldyke/bluebelldyke/internal/direct/runner"
 	"github.com/bluebelldyke/bluebelldyke/models/settings"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/inspector"
@@ -27,6 +30,9 @@
 	exitUsage   = 2 // usage or invalid input
 )
 
+// errorWriteLimit is the longest wait for the error output at the end of the process.
+const errorWriteLimit = 400 * time.Millisecond
+
 const (
 	program   = "bluebelldyke"
 	exitCodes = "Exit codes: 0 success, 1 failure, 2 usage or invalid input."
@@ -66,10 +72,17 @@
 	if err == nil && c != nil {
 		err = c.run(ctx, out)
 	}
+	if err != nil && !runner.IsErrLogged(err) {
+		printError(errOut, err)
+	}
+	return exitCode(err)
+}
+
+// exitCode returns the exit code that follows from an error.
+func exitCode(err error) int {
 	if err == nil {
 		return exitOK
 	}
-	_, _ = fmt.Fprintln(errOut, prefixLines(err.Error())) // a failed write to stderr cannot be reported
 	if isInvalidInput(err) {
 		return exitUsage
 	}
@@ -79,6 +92,21 @@
 	return exitFailure
 }
 
+// printError writes the error. It gives up when nothing reads the output, so that the process ends; a failed write cannot be reported.
+func printError(out io.Writer, err error) {
+	written := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error {
+		defer close(written)
+		_, _ = fmt.Fprintln(out, prefixLines(err.Error()))
+		return nil
+	})
+	select {
+	case <-written:
+	case <-time.After(errorWriteLimit):
+	}
+}
+
 // prefixLines puts the name of the program before each line, as is usual for error messages.
 func prefixLines(text string) string {
 	return program + ": " + strings.ReplaceAll(text, "\n", "\n"+program+": ")
--- a/internal/direct/runner/operator.go
+++ b/internal/direct/runner/operator.go
@@ -1,9 +1,7 @@
 package runner
 
 import (
-	"time"
-
-	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/follower"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
@@ -30,17 +28,16 @@
 	return a
 }
 
-func newSummarizer(s loader.Settings, f *follower.Follower, t *transporter.Transporter, p *peers.Peers, audit *auditor.Auditor) *summarizer.Summarizer {
+func newSummarizer(s loader.Settings, process process, f *follower.Follower, t *transporter.Transporter, p *peers.Peers, audit *auditor.Auditor) *summarizer.Summarizer {
 	return summarizer.New(summarizer.Config{
-		Name: s.VMName, AvailabilityZone: s.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli()), Views: f, Traffic: t, Members: p, Audit: audit,
+		Name: s.VMName, AvailabilityZone: s.AvailabilityZone, Incarnation: process.incarnation, Views: f, Traffic: t, Members: p, Audit: audit,
 	})
 }
 
-// newOperator binds the operator address. It returns nil if the settings name none.
-func newOperator(s loader.Settings, summary *summarizer.Summarizer) (*operator.Server, error) {
+// newOperator returns the server of the operator address, nil if the settings name none.
+func newOperator(s loader.Settings, summary *summarizer.Summarizer, logger *zap.Logger) *operator.Server {
 	if !s.OperatorBind.IsValid() {
-		return nil, nil
+		return nil
 	}
-	server, err := operator.New(operator.Config{Bind: s.OperatorBind, Status: summary, Audit: summary})
-	return server, eris.Wrapf(err, "listen on TCP %s: end the process that uses it or change operator.bind", s.OperatorBind)
+	return operator.New(operator.Config{Bind: s.OperatorBind, Status: summary, Audit: summary, Logger: logger})
 }
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -13,9 +13,7 @@
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/metric"
-	"go.uber.org/dig"
 	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
@@ -55,19 +53,26 @@
 	exitReserve = 500 * time.Millisecond
 )
 
-// Config holds the settings of a daemon and what depends on the platform.
+// Config holds what a daemon gets from the command line and what depends on the platform.
 type Config struct {
-	Settings loader.Settings
 	// File is the settings file. Changes of it are applied while the daemon runs.
-	File   string
-	Source follower.Source
-	Layout editor.Layout
+	File string
+	// NewSource returns the source of the documents that the settings name.
+	NewSource func(loader.Settings) (follower.Source, error)
+	Layout    editor.Layout
+	// Signals has the signals to the process; nil means none.
+	Signals <-chan os.Signal
+	// ExitStatus returns the exit status that follows from the error of Run.
+	ExitStatus func(error) int
+	// Version is the version of the program.
+	Version string
 }
 
 // components are the parts of a running daemon, as assembled by dependency injection.
 type components struct {
 	fx.In
 	Settings    loader.Settings
+	Process     process
 	Logger      *zap.Logger
 	LogOutput   *spooler.Spooler
 	Peers       *peers.Peers
@@ -80,32 +85,10 @@
 	Operator    *operator.Server // nil without an operator address
 }
 
-// Run runs a daemon until ctx ends and the daemon has drained, or until a component fails.
-func Run(ctx context.Context, c Config) error {
-	entry, err := transporter.Listen(c.Settings.EntryBind)
-	if err != nil {
-		return err
-	}
-	defer entry.Close() // has no effect if Transporter.Run has closed it
-	var assembled components
-	app := fx.New(
-		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(c, c.Settings, c.Layout, entry),
-		fx.Provide(func() follower.Source { return c.Source }, newRandom, newSpooler, newLogger, newMetrics, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
-		fx.Invoke(func(in components) { assembled = in }),
-	)
-	if err := app.Err(); err != nil {
-		return dig.RootCause(err)
-	}
-	return assembled.run(ctx)
-}
-
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func newSpooler() *spooler.Spooler { return spooler.New(os.Stdout, 0) }
-
 // newMetrics returns the meter of the daemon and the handler of the metrics page.
-func newMetrics(output *spooler.Spooler) (metric.Meter, http.Handler, error) {
+func newMetrics(output *spooler.Spooler, p process) (metric.Meter, http.Handler, error) {
 	provider, page, err := exposer.New()
 	if err != nil {
 		return nil, nil, err
@@ -116,19 +99,15 @@
 			o.Observe(int64(output.Dropped()))
 			return nil
 		}))
-	return meter, page, eris.Wrap(err, "metric log.dropped")
-}
-
-func newLogger(s loader.Settings, output *spooler.Spooler) (*zap.Logger, zap.AtomicLevel, error) {
-	level, err := zap.ParseAtomicLevel(s.Log.Level)
 	if err != nil {
-		return nil, level, eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
-	}
-	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
-	if s.Log.Format == "text" {
-		encoder = zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
+		return nil, nil, eris.Wrap(err, "metric log.dropped")
 	}
-	return zap.New(zapcore.NewCore(encoder, output, level)), level, nil
+	_, err = meter.Int64ObservableGauge("bluebelldyke.process.start-time", metric.WithDescription("start of the process in Unix time"), metric.WithUnit("s"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(p.startedAt.Unix())
+			return nil
+		}))
+	return meter, page, eris.Wrap(err, "metric process.start-time")
 }
 
 func newRecorder(s loader.Settings, logger *zap.Logger, audit *auditor.Auditor) *recorder.Recorder {
@@ -144,7 +123,7 @@
 }
 
 func newTransporter(
-	s loader.Settings, entry *net.UDPConn, layout editor.Layout, random *rand.Rand, records *recorder.Recorder, meter metric.Meter,
+	s loader.Settings, entry transporter.Conn, layout editor.Layout, random *rand.Rand, records *recorder.Recorder, meter metric.Meter,
 ) (*transporter.Transporter, error) {
 	t := transporter.New(transporter.Config{
 		EntryConn: entry, Layout: layout, Steerer: steerer.New(steerer.Config{
@@ -159,9 +138,9 @@
 	return t, t.RegisterMetrics(meter)
 }
 
-func newPeers(s loader.Settings, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
+func newPeers(s loader.Settings, process process, socket peers.Conn, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
 	return peers.New(peers.Config{
-		Bind: s.Peer.Bind, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli()),
+		Conn: socket, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: process.incarnation,
 		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Weak: s.Peer.Weak, FastDetection: s.Peer.FastDetection, Logger: logger, Meter: meter, Random: newRandom(),
 	})
 }
@@ -221,9 +200,8 @@
 	return t.AddAdmissionReport
 }
 
-func newReloader(c Config, level zap.AtomicLevel, p *peers.Peers, f *follower.Follower, logger *zap.Logger) *reloader.Reloader {
-	inForce := c.Settings
-	return reloader.New(reloader.Config{File: c.File, Logger: logger, Apply: func(s loader.Settings) {
+func newReloader(c Config, inForce loader.Settings, content settingsContent, level zap.AtomicLevel, p *peers.Peers, f *follower.Follower, logger *zap.Logger) *reloader.Reloader {
+	return reloader.New(reloader.Config{File: c.File, Content: content, Logger: logger, Apply: func(s loader.Settings) {
 		p.SetSeeds(s.Peer.Seeds)
 		f.SetSeeds(s.Peer.Seeds)
 		if l, err := zapcore.ParseLevel(s.Log.Level); err == nil { // the loader has validated the level
@@ -234,8 +212,8 @@
 	}})
 }
 
-func newResponder(s loader.Settings, page http.Handler, logger *zap.Logger) (*responder.Responder, error) {
-	return responder.New(responder.Config{ReadinessBind: s.ReadinessBind, MetricsBind: s.MetricsBind, MetricsPage: page, Logger: logger})
+func newResponder(s loader.Settings, readiness net.Listener, page http.Handler, logger *zap.Logger) *responder.Responder {
+	return responder.New(responder.Config{Readiness: readiness, MetricsBind: s.MetricsBind, MetricsPage: page, Logger: logger})
 }
 
 // countBefore returns the number of members whose address is lower than that of this daemon.
@@ -249,23 +227,22 @@
 	return n
 }
 
-// run runs the components. When ctx ends they continue until the daemon has drained.
-func (c *components) run(ctx context.Context) error {
-	c.Logger.Info("daemon starts", zap.String("vm", c.Settings.VMName), zap.String("availability-zone", c.Settings.AvailabilityZone))
-	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+// run runs the components until the daemon has drained after ctx has ended, until abort ends, or until a component has failed.
+func (c *components) run(ctx, abort context.Context) error {
+	runCtx, cancel := context.WithCancel(abort)
 	defer cancel()
 	group, runCtx := errgroup.WithContext(runCtx)
-	outputCtx, endOutput := context.WithCancel(context.WithoutCancel(ctx))
-	var outputGroup errgroup.Group
-	outputGroup.Go(func() error { return c.LogOutput.Run(outputCtx) })
-	group.Go(func() error { return c.Peers.Run(runCtx) })
-	group.Go(func() error { return c.Reporter.Run(runCtx) })
-	group.Go(func() error { return c.Follower.Run(runCtx) })
-	group.Go(func() error { return c.Transporter.Run(runCtx) })
-	group.Go(func() error { return c.Responder.Run(runCtx) })
-	group.Go(func() error { return c.Reloader.Run(runCtx) })
+	run := func(name string, f func(context.Context) error) {
+		group.Go(func() error { return eris.Wrapf(f(runCtx), "component %s", name) })
+	}
+	run("peers", c.Peers.Run)
+	run("reporter", c.Reporter.Run)
+	run("follower", c.Follower.Run)
+	run("transporter", c.Transporter.Run)
+	run("responder", c.Responder.Run)
+	run("reloader", c.Reloader.Run)
 	if c.Operator != nil {
-		group.Go(func() error { return c.Operator.Run(runCtx) })
+		run("operator", c.Operator.Run)
 	}
 	group.Go(func() error {
 		select {
@@ -288,11 +265,7 @@
 		cancel()
 		return nil
 	})
-	err := group.Wait()
-	c.Logger.Info("daemon ends", zap.Error(err))
-	endOutput()
-	_ = outputGroup.Wait() // it returns no error
-	return err
+	return group.Wait()
 }
 
 // refusalCounter counts the readiness checks that were refused.
--- a/routers/peers/peers.go
+++ b/routers/peers/peers.go
@@ -24,6 +24,9 @@
 // gateForwardCapacity limits the forwarded caller datagrams that wait to be processed here: a burst of about 1.5 MB.
 const gateForwardCapacity = 1024
 
+// readErrorPause is the pause after a failed read.
+const readErrorPause = time.Millisecond
+
 // Conn is the part of *net.UDPConn that Peers uses.
 type Conn interface {
 	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
@@ -96,6 +99,7 @@
 	documents Documents
 	reports   HealthReports
 	notices   NoticeHandler
+	restarts  restartCounter
 }
 
 // New opens the socket and returns a Peers.
@@ -128,7 +132,7 @@
 			Self: c.Advertise, AvailabilityZone: c.AvailabilityZone, Incarnation: c.Incarnation, Seeds: c.Seeds, Weak: c.Weak, FastDetection: c.FastDetection, Random: c.Random,
 		}),
 	}
-	if err := p.counters.registerMetrics(c.Meter, p.zoneSize); err != nil {
+	if err := p.counters.registerMetrics(c.Meter, p.zoneSize, &p.restarts); err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
 	return p, nil
@@ -190,6 +194,7 @@
 			}
 			// The error may be an ICMP error for an earlier datagram, after which the socket is still usable.
 			p.counters.readErrors.Add(1)
+			time.Sleep(readErrorPause) // a permanent error must not keep a core busy
 			continue
 		}
 		p.handleDatagram(buffer[:n])
@@ -230,6 +235,11 @@
 	p.mu.Lock()
 	p.gossiper.SetVersions(versions)
 	actions := step(now)
+	for _, a := range actions {
+		if changed, ok := a.(gossiper.MemberChanged); ok {
+			p.restarts.add(&changed.Member)
+		}
+	}
 	p.mu.Unlock()
 	for _, a := range actions {
 		switch a := a.(type) {
