steerer: a change of the configuration ends daemons with priorities at two services

Callers saw: all daemons ended at each change of the desired state and were started again 0.5 s later. Cause: configureAdmission set the entry of a kept service in the list of the previous ones to nil, and the search for the next service read it. Change: a kept entry is taken out of the list. No entry of the list is nil any more, so the later loop needs no check. Seen before: TestChangeWithPrioritiesOfTwoServices ended with a nil pointer dereference in configureAdmission.

--- a/services/steerer/overload_test.go
+++ b/services/steerer/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -334,3 +335,43 @@
 	}})
 	g.Expect(d.AdmissionRoutes()[0].Route).To(Equal("renamed"))
 }
+
+// TestChangeWithPrioritiesOfTwoServices guards against a daemon that ends at a change of the configuration, because two services have routes of
+// different priorities and those of the first are unchanged. The admission control of unchanged routes must keep its state.
+func TestChangeWithPrioritiesOfTwoServices(t *testing.T) {
+	g := NewWithT(t)
+	d := newAdmissionDaemon(true)
+	route := func(port uint16, service string, priority int) directory.Route {
+		return directory.Route{
+			Address: netip.AddrPortFrom(lowAddress.Addr(), port), Shares: []directory.Share{{Service: service, Weight: 1}},
+			Priority: priority, TargetLatency: 600 * time.Millisecond, Timeout: 4 * time.Second,
+		}
+	}
+	routes := []directory.Route{route(443, "ovenwatch", 2), route(444, "ovenwatch", 1), route(445, "recipecard", 2), route(446, "recipecard", 1)}
+	d.SetConfiguration(d.now, &directory.Configuration{Version: 2, Routes: routes})
+	d.SetBackendList(d.now, &directory.BackendList{Position: directory.Position{Revision: 2}, Servers: slices.Concat(
+		newBackendServers(2, 1, "ovenwatch", "souillac"), newBackendServers(2, 11, "recipecard", "souillac"))})
+	p := d.open(routes[3].Address)
+	for range 10 {
+		d.exchange(p, 500*time.Millisecond)
+	}
+	overloaded := func() []string {
+		var names []string
+		for _, s := range d.AdmissionServices() {
+			if s.Overloaded {
+				names = append(names, s.Service)
+			}
+		}
+		return names
+	}
+	g.Expect(overloaded()).To(ConsistOf("recipecard"))
+	for version := uint64(3); version < 6; version++ {
+		routes = append(routes, route(uint16(444+version), "recipecard-archive", 2))
+		d.SetConfiguration(d.now, &directory.Configuration{Version: version, Routes: routes})
+		g.Expect(d.AdmissionServices()).To(HaveLen(2))
+		g.Expect(overloaded()).To(ConsistOf("recipecard"))
+	}
+	routes[0].Timeout = 3 * time.Second
+	d.SetConfiguration(d.now, &directory.Configuration{Version: 6, Routes: routes})
+	g.Expect(overloaded()).To(ConsistOf("recipecard"))
+}
--- a/services/steerer/overload_view.go
+++ b/services/steerer/overload_view.go
@@ -39,11 +39,12 @@
 		}
 		i := slices.IndexFunc(previous, func(a *serviceAdmission) bool { return a.service == name && sameClasses(a.routes, list) })
 		if i >= 0 {
-			for class, r := range previous[i].routes {
+			kept := previous[i]
+			for class, r := range kept.routes {
 				r.route = list[class].route // its name may have changed
 			}
-			s.admission.services = append(s.admission.services, previous[i])
-			previous[i] = nil
+			s.admission.services = append(s.admission.services, kept)
+			previous = slices.Delete(previous, i, i+1)
 			continue
 		}
 		created := &serviceAdmission{Admitter: admitter.New(s.config.Admission.Admitter), service: name, routes: list}
@@ -56,9 +57,7 @@
 		s.admission.services = append(s.admission.services, created)
 	}
 	for _, a := range previous {
-		if a != nil {
-			s.releaseService(now, a)
-		}
+		s.releaseService(now, a)
 	}
 	for _, r := range s.routes {
 		r.admissions = s.routeAdmissions(r)
