direct: a panic at one input ends the daemon

Callers saw: all flows through a daemon lost their daemon when one packet, document or message reached a panic. Cause: nothing contained a panic at the boundaries to the outside. Change: package recoverer contains panics at packets, documents, messages of peers, ticks, timers and the loops of the follower, counts them by boundary and logs the stack, at most once in 10 s for each boundary. Critical sections release their locks by deferred calls. After a panic at a document the steerer is rebuilt from the documents, with the removed backend servers and routes; if that panics too, the documents before it stay in force. Panics at packets and ticks rebuild it at most every 10 s, so that one client cannot make the daemon forget its flows each time. Seen before: with the recovery taken out, TestChangeThatPanics, TestPacketThatPanics, TestRemovedServersAfterPanic and TestAnswerThatPanics end with the panic; with the earlier handleAnnouncement, TestMessageThatPanics finds the lock held. Not contained: see the documentation of the package.

--- a/internal/direct/follower/announcement.go
+++ b/internal/direct/follower/announcement.go
@@ -27,13 +27,14 @@
 
 // announce tells the peers which documents this daemon has, with the deltas of the read that changed its backend list, if there are any.
 func (f *Follower) announce(deltas []lister.Delta) {
-	f.mu.Lock()
-	messages := f.announcements(deltas)
+	var messages []*encoder.Announcement
 	degree := fanOutDegree
-	if len(deltas) > maxDeltas {
-		degree = f.wholeDocumentDegree()
-	}
-	f.publishAgesAndUnlock()
+	f.locked(func() {
+		messages = f.announcements(deltas)
+		if len(deltas) > maxDeltas {
+			degree = f.wholeDocumentDegree()
+		}
+	})
 	f.sendAnnouncements(messages, true, degree)
 }
 
@@ -143,8 +144,19 @@
 // handleAnnouncement applies the announcement of a peer and, if it came from another availability zone and brought something new,
 // forwards it within the own one.
 func (f *Follower) handleAnnouncement(from netip.AddrPort, a *encoder.Announcement) {
+	if f.applyAnnouncement(from, a) {
+		a.Zone = f.c.AvailabilityZone
+		a.BackendListAge += transitTime
+		a.ConfigAge += transitTime
+		f.sendAnnouncements([]*encoder.Announcement{a}, false, fanOutDegree)
+	}
+}
+
+// applyAnnouncement applies the announcement of a peer, and reports whether it is to be forwarded.
+func (f *Follower) applyAnnouncement(from netip.AddrPort, a *encoder.Announcement) (forward bool) {
 	now := time.Now()
 	f.mu.Lock()
+	defer f.publishAgesAndUnlock()
 	f.source = from.String()
 	fresher, changed := false, false
 	if a.HasEra {
@@ -181,14 +193,7 @@
 	if f.evacuations != nil && a.Evacuations != nil {
 		a.Evacuations = f.evacuationSnapshot()
 	}
-	forward := (fresher || changed) && a.Zone != f.c.AvailabilityZone
-	f.publishAgesAndUnlock()
-	if forward {
-		a.Zone = f.c.AvailabilityZone
-		a.BackendListAge += transitTime
-		a.ConfigAge += transitTime
-		f.sendAnnouncements([]*encoder.Announcement{a}, false, fanOutDegree)
-	}
+	return (fresher || changed) && a.Zone != f.c.AvailabilityZone
 }
 
 // applyDelta applies a delta, and those that arrived before it although they follow it: datagrams may overtake each other. A delta whose
@@ -200,7 +205,7 @@
 	case outcome == lister.BaseMismatch && len(f.pendingDeltas) < maxDeltas:
 		f.pendingDeltas = append(f.pendingDeltas, pendingDelta{*d, asOf})
 		if len(f.pendingDeltas) == 1 {
-			time.AfterFunc(reorderWait, func() { f.resolvePendingDeltas(from) })
+			f.afterFunc(reorderWait, func() { f.resolvePendingDeltas(from) })
 		}
 	case outcome == lister.Changed:
 		for i := 0; i < len(f.pendingDeltas); i++ {
--- a/internal/direct/follower/backend_list.go
+++ b/internal/direct/follower/backend_list.go
@@ -20,10 +20,12 @@
 	failures := 0
 	requested := f.requestAtStartup(ctx, encoder.BackendListDocument, f.hasInitialView)
 	for ctx.Err() == nil {
-		f.mu.Lock()
-		known, complete := f.backendList.HasList(), f.hasInitialView()
-		due := f.nextBackendListRead(f.rank())
-		f.publishAgesAndUnlock()
+		var known, complete bool
+		var due time.Time
+		f.locked(func() {
+			known, complete = f.backendList.HasList(), f.hasInitialView()
+			due = f.nextBackendListRead(f.rank())
+		})
 		if !complete {
 			f.requestFromRandomPeer(encoder.BackendListDocument)
 		}
@@ -49,12 +51,15 @@
 			f.waitRetryBackendList(ctx, backoff, failures)
 			continue
 		}
-		f.mu.Lock()
-		f.source = platformSource
-		zonesCurrent := f.replaceEvacuations(started, snapshot.Evacuations, knownZones) // first, as the list ends the wait for new flows
-		deltas, outcome := f.applySnapshot(started, &snapshot)
-		superseded := f.backendList.AsOf().After(started)
-		f.publishAgesAndUnlock()
+		var zonesCurrent, superseded bool
+		var deltas []lister.Delta
+		var outcome lister.Outcome
+		f.locked(func() {
+			f.source = platformSource
+			zonesCurrent = f.replaceEvacuations(started, snapshot.Evacuations, knownZones) // first, as the list ends the wait for new flows
+			deltas, outcome = f.applySnapshot(started, &snapshot)
+			superseded = f.backendList.AsOf().After(started)
+		})
 		if outcome == lister.Outdated && !superseded || !zonesCurrent {
 			if outcome != lister.Outdated {
 				f.announce(deltas)
--- a/internal/direct/follower/configuration.go
+++ b/internal/direct/follower/configuration.go
@@ -129,13 +129,13 @@
 		changes, from, err := f.fetchConfiguration(ctx, after)
 		f.recordCall(callCheck, err)
 		if fetcher.IsErrNotFound(err) {
-			f.mu.Lock()
-			f.configAbsent = true
-			if f.configuration != nil { // a restored store has lost it
-				f.adoptConfiguration(nil, started)
-				f.requestWanted(started)
-			}
-			f.publishAgesAndUnlock()
+			f.locked(func() {
+				f.configAbsent = true
+				if f.configuration != nil { // a restored store has lost it
+					f.adoptConfiguration(nil, started)
+					f.requestWanted(started)
+				}
+			})
 			continue
 		}
 		if err != nil {
@@ -145,9 +145,7 @@
 		}
 		backoff.Reset()
 		f.handleChanges(from, &changes, started)
-		f.mu.Lock()
-		f.requestWanted(started)
-		f.publishAgesAndUnlock()
+		f.locked(func() { f.requestWanted(started) })
 		f.announce(nil)
 	}
 }
--- a/internal/direct/follower/evacuation.go
+++ b/internal/direct/follower/evacuation.go
@@ -129,7 +129,7 @@
 	switch {
 	case next.IsZero():
 	case f.expiryTimer == nil:
-		f.expiryTimer = time.AfterFunc(time.Until(next), f.expireEvacuations)
+		f.expiryTimer = f.afterFunc(time.Until(next), f.expireEvacuations)
 	default:
 		f.expiryTimer.Reset(time.Until(next))
 	}
@@ -143,7 +143,7 @@
 	}
 	if !f.listHeld {
 		f.listHeld = true
-		time.AfterFunc(maxBackendListHold, f.releaseBackendList)
+		f.afterFunc(maxBackendListHold, f.releaseBackendList)
 	}
 	return true
 }
@@ -195,9 +195,8 @@
 
 // announceEvacuations tells the peers the evacuated zones at once.
 func (f *Follower) announceEvacuations() {
-	f.mu.Lock()
-	a := f.evacuationAnnouncement()
-	f.publishAgesAndUnlock()
+	var a *encoder.Announcement
+	f.locked(func() { a = f.evacuationAnnouncement() })
 	if a != nil {
 		f.sendAnnouncements([]*encoder.Announcement{a}, true, fanOutDegree)
 	}
@@ -212,9 +211,8 @@
 	if i := slices.IndexFunc(f.c.Peers.Members(), func(m packer.Member) bool { return m.Address == to }); i >= 0 && f.announcementForms()[to] != encoder.WithEvacuations {
 		return
 	}
-	f.mu.Lock()
-	a := f.evacuationAnnouncement()
-	f.publishAgesAndUnlock()
+	var a *encoder.Announcement
+	f.locked(func() { a = f.evacuationAnnouncement() })
 	if a == nil {
 		return
 	}
--- a/internal/direct/follower/follower.go
+++ b/internal/direct/follower/follower.go
@@ -20,6 +20,7 @@
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/modules/fetcher"
 	"github.com/bluebelldyke/bluebelldyke/modules/packer"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/modules/throttler"
 	"github.com/bluebelldyke/bluebelldyke/services/estimator"
 	"github.com/bluebelldyke/bluebelldyke/services/evacuator"
@@ -131,6 +132,8 @@
 	Audit AuditTrail
 	// LinkRate is the rate of the VM's link in bits per second. Documents for peers take a quarter of it. 0 means that they are not paced.
 	LinkRate float64
+	// Recoverer contains panics; nil contains none.
+	Recoverer *recoverer.Recoverer
 	// Weak states that this daemon is one of the weak members, which read and announce only what no other member does.
 	Weak bool
 }
@@ -209,12 +212,12 @@
 // Run keeps the documents current until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { f.watchConfiguration(ctx); return nil })
-	group.Go(func() error { f.pollConfiguration(ctx); return nil })
-	group.Go(func() error { f.pollBackendList(ctx); return nil })
-	group.Go(func() error { f.monitorStaleness(ctx); return nil })
+	f.startLoop(ctx, group, "watch", f.watchConfiguration)
+	f.startLoop(ctx, group, "configuration-read", f.pollConfiguration)
+	f.startLoop(ctx, group, "backend-list-read", f.pollBackendList)
+	f.startLoop(ctx, group, "staleness", f.monitorStaleness)
 	if f.isPaced() {
-		group.Go(func() error { f.sendPaced(ctx); return nil })
+		f.startLoop(ctx, group, "transfer", f.sendPaced)
 	}
 	err := group.Wait()
 	f.logCallSummary()
@@ -224,15 +227,15 @@
 // HandleSuspension adds the time for which the VM was suspended to the ages of the documents, because the clock stood still
 // meanwhile, and triggers a read. Peers that request a document before the read get it with its true age.
 func (f *Follower) HandleSuspension(d time.Duration) {
-	f.mu.Lock()
-	f.backendList.AddAge(d)
-	if f.evacuations != nil {
-		f.evacuations.AddAge(d)
-	}
-	if !f.configAsOf.IsZero() {
-		f.configAsOf = f.configAsOf.Add(-d)
-	}
-	f.publishAgesAndUnlock()
+	f.locked(func() {
+		f.backendList.AddAge(d)
+		if f.evacuations != nil {
+			f.evacuations.AddAge(d)
+		}
+		if !f.configAsOf.IsZero() {
+			f.configAsOf = f.configAsOf.Add(-d)
+		}
+	})
 	f.c.Logger.Info("VM was suspended", zap.Duration("for", d))
 	signal(f.backendListWake)
 	signal(f.configurationWake)
--- a/internal/direct/follower/pacing.go
+++ b/internal/direct/follower/pacing.go
@@ -190,9 +190,10 @@
 // sendPaced sends the queued documents until ctx ends.
 func (f *Follower) sendPaced(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.mu.Lock()
-		to, payload, wait := f.takeFragment(time.Now())
-		f.publishAgesAndUnlock()
+		var to netip.AddrPort
+		var payload []byte
+		var wait time.Duration
+		f.locked(func() { to, payload, wait = f.takeFragment(time.Now()) })
 		switch {
 		case payload != nil:
 			f.c.Peers.Notify(to, payload)
@@ -255,7 +256,7 @@
 // scheduleDownloadCheck calls retryDownload at the deadline of a download. The caller holds mu.
 func (f *Follower) scheduleDownloadCheck(d encoder.Document, now time.Time) {
 	started, deadline := f.downloads[d].started, f.downloads[d].deadline
-	time.AfterFunc(deadline.Sub(now), func() { f.retryDownload(d, started, deadline) })
+	f.afterFunc(deadline.Sub(now), func() { f.retryDownload(d, started, deadline) })
 }
 
 // retryDownload asks another peer for a document that is late, once. After that the platform is read when the age of the document in force
@@ -285,7 +286,7 @@
 	if announced.backendListDigest == f.backendList.Digest() {
 		return
 	}
-	time.AfterFunc(requestInterval/2, func() {
+	f.afterFunc(requestInterval/2, func() {
 		f.mu.Lock()
 		defer f.publishAgesAndUnlock()
 		if f.latestAnnouncement == announced && announced.backendListDigest != f.backendList.Digest() && !f.isDownloading(encoder.BackendListDocument, time.Now()) {
--- a/internal/direct/follower/relay.go
+++ b/internal/direct/follower/relay.go
@@ -65,21 +65,13 @@
 	}
 	a := m.(*encoder.Announcement)
 	version := a.ConfigVersion
-	f.mu.Lock()
-	if f.isPaced() && len(r.Targets) > 0 && a.Delta.Revision > 0 && a.Delta.BaseDigest == a.Delta.Digest && a.Delta.Digest != f.backendList.Digest() &&
-		len(f.deferredRelays) < maxDeferredRelays {
-		f.deferListRelay(a.Delta.Digest, r)
-		f.publishAgesAndUnlock()
+	wait, forList := f.deferRelay(a, r)
+	if forList {
 		f.HandleNotice(from, r.Payload)
 		return
 	}
-	wait := len(r.Targets) > 0 && version > 0 && (f.configuration == nil || f.configuration.Version < version) && len(f.deferredRelays) < maxDeferredRelays
-	if wait {
-		f.deferredRelays = append(f.deferredRelays, deferredRelay{version: version, relay: r})
-	}
-	f.publishAgesAndUnlock()
 	if wait {
-		time.AfterFunc(requestInterval, func() {
+		f.afterFunc(requestInterval, func() {
 			f.mu.Lock()
 			defer f.publishAgesAndUnlock()
 			f.sendDeferredRelays(version)
@@ -90,6 +82,24 @@
 	f.HandleNotice(from, r.Payload)
 }
 
+// deferRelay keeps a relay of an announcement if its targets have to wait for the backend list, or otherwise for the configuration.
+func (f *Follower) deferRelay(a *encoder.Announcement, r *encoder.Relay) (forConfiguration, forList bool) {
+	f.mu.Lock()
+	defer f.publishAgesAndUnlock()
+	if len(r.Targets) == 0 || len(f.deferredRelays) >= maxDeferredRelays {
+		return false, false
+	}
+	if f.isPaced() && a.Delta.Revision > 0 && a.Delta.BaseDigest == a.Delta.Digest && a.Delta.Digest != f.backendList.Digest() {
+		f.deferListRelay(a.Delta.Digest, r)
+		return false, true
+	}
+	if a.ConfigVersion > 0 && (f.configuration == nil || f.configuration.Version < a.ConfigVersion) {
+		f.deferredRelays = append(f.deferredRelays, deferredRelay{version: a.ConfigVersion, relay: r})
+		return true, false
+	}
+	return false, false
+}
+
 // sendDeferredRelays sends the relays that wait for a configuration of the given version or an earlier one. The caller holds mu.
 func (f *Follower) sendDeferredRelays(version uint64) {
 	for i := 0; i < len(f.deferredRelays); {
@@ -107,7 +117,7 @@
 func (f *Follower) deferListRelay(digest uint64, r *encoder.Relay) {
 	f.deferredRelays = append(f.deferredRelays, deferredRelay{listDigest: digest, relay: r, receivedAt: time.Now()})
 	wait := reorderWait + max(requestInterval, lateFactor*f.expectedTransferTime(f.lastSizes[encoder.BackendListDocument]))
-	time.AfterFunc(wait, func() {
+	f.afterFunc(wait, func() {
 		f.mu.Lock()
 		defer f.publishAgesAndUnlock()
 		f.sendDeferredListRelays(digest)
--- a/internal/direct/follower/transfer.go
+++ b/internal/direct/follower/transfer.go
@@ -73,7 +73,7 @@
 	e.header.Count = (len(e.content) + fragmentSize - 1) / fragmentSize
 	f.documents.encoded.Add(1)
 	f.sharedEncodings[d] = e
-	time.AfterFunc(sharedEncodingTime, func() { // frees the memory
+	f.afterFunc(sharedEncodingTime, func() { // frees the memory
 		f.mu.Lock()
 		defer f.publishAgesAndUnlock()
 		if f.sharedEncodings[d] == e {
@@ -90,14 +90,15 @@
 		f.sendEvacuations(to)
 	}
 	anySize := f.isZonePeer(to) || r.PlatformLost
-	f.mu.Lock()
-	if f.isPaced() {
-		f.addTransfer(transfer{to: to, kind: r.Document, hasEra: r.KnowsEras, anySize: anySize})
-		f.publishAgesAndUnlock()
-		return
-	}
-	e, err := f.encodeDocument(r.Document)
-	f.publishAgesAndUnlock()
+	var e *encodedDocument
+	var err error
+	f.locked(func() {
+		if f.isPaced() {
+			f.addTransfer(transfer{to: to, kind: r.Document, hasEra: r.KnowsEras, anySize: anySize})
+			return
+		}
+		e, err = f.encodeDocument(r.Document)
+	})
 	if err != nil || e == nil || !anySize && e.header.Count > maxCrossZoneFragments {
 		return
 	}
--- a/internal/direct/reporter/probe.go
+++ b/internal/direct/reporter/probe.go
@@ -32,9 +32,8 @@
 
 // startProbe probes the backend server of a finding if that is still needed and one that answers is known besides it.
 func (r *Reporter) startProbe(f *steerer.Finding) {
-	r.mu.Lock()
-	due := r.prober.StartProbe(time.Now(), f.Server)
-	r.mu.Unlock()
+	var due bool
+	r.locked(func() { due = r.prober.StartProbe(time.Now(), f.Server) })
 	if !due {
 		return
 	}
@@ -46,6 +45,10 @@
 
 // handleProbe sends the outcome of a probe of this daemon to the aggregators of the backend server.
 func (r *Reporter) handleProbe(p dialer.Probe, o prober.Outcome) {
+	r.c.Recoverer.Do("probe", 0, func() { r.reportProbe(p, o) })
+}
+
+func (r *Reporter) reportProbe(p dialer.Probe, o prober.Outcome) {
 	r.counts.probes[o].Add(1)
 	if o == prober.Unknown {
 		return
@@ -83,9 +86,9 @@
 }
 
 func (r *Reporter) addOutcome(from netip.AddrPort, server directory.ServerID, incarnation int64, o prober.Outcome) {
-	r.mu.Lock()
-	f, reachable := r.prober.AddOutcome(time.Now(), from, server, incarnation, o)
-	r.mu.Unlock()
+	var f steerer.Finding
+	var reachable bool
+	r.locked(func() { f, reachable = r.prober.AddOutcome(time.Now(), from, server, incarnation, o) })
 	if reachable {
 		r.add(netip.AddrPort{}, []steerer.Finding{f})
 		return
@@ -96,15 +99,18 @@
 // conclude adds the finding that a backend server is unreachable to the evidence of the aggregator if the probes and the flows show it.
 func (r *Reporter) conclude(server directory.ServerID) {
 	now := time.Now()
-	r.mu.Lock()
-	f, ok, retry := r.prober.Conclude(now, server)
-	if now.Sub(r.sweptAt) >= sweepInterval {
-		r.sweptAt = now
-		r.prober.Sweep(now)
-	}
-	r.mu.Unlock()
+	var f steerer.Finding
+	var ok bool
+	var retry time.Time
+	r.locked(func() {
+		f, ok, retry = r.prober.Conclude(now, server)
+		if now.Sub(r.sweptAt) >= sweepInterval {
+			r.sweptAt = now
+			r.prober.Sweep(now)
+		}
+	})
 	if !retry.IsZero() {
-		time.AfterFunc(retry.Sub(now), func() { r.conclude(server) })
+		r.afterFunc(retry.Sub(now), func() { r.conclude(server) })
 	}
 	if ok {
 		r.c.Logger.Info("backend server is unreachable by probes and flows", zap.Uint64("backend-server", uint64(server)))
--- a/internal/direct/reporter/reporter.go
+++ b/internal/direct/reporter/reporter.go
@@ -14,6 +14,7 @@
 
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/dialer"
 	"github.com/bluebelldyke/bluebelldyke/modules/packer"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/services/aggregator"
 	"github.com/bluebelldyke/bluebelldyke/services/prober"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
@@ -57,6 +58,8 @@
 	Sink             Sink
 	Logger           *zap.Logger
 	AvailabilityZone string
+	// Recoverer contains panics; nil contains none.
+	Recoverer *recoverer.Recoverer
 	// Weak states that this daemon is one of the weak members.
 	Weak bool
 	// References switches probes of backend servers on unless it is nil.
@@ -149,13 +152,13 @@
 	members := r.candidates(peers)
 	batches := map[netip.AddrPort][]steerer.Finding{}
 	now := time.Now()
-	r.mu.Lock()
-	for _, f := range list {
-		for _, to := range r.aggregator.Receivers(now, &f, members) {
-			batches[to] = append(batches[to], f)
+	r.locked(func() {
+		for _, f := range list {
+			for _, to := range r.aggregator.Receivers(now, &f, members) {
+				batches[to] = append(batches[to], f)
+			}
 		}
-	}
-	r.mu.Unlock()
+	})
 	for to, batch := range batches {
 		if to == self {
 			r.add(self, batch)
@@ -181,8 +184,24 @@
 	r.c.Sink.AddFindings(list)
 }
 
-// HandleNotice handles a message of a peer.
+// HandleNotice handles a message of a peer. After a panic the message is dropped.
 func (r *Reporter) HandleNotice(from netip.AddrPort, payload []byte) {
+	r.c.Recoverer.Do("notice", len(payload), func() { r.handleNotice(from, payload) })
+}
+
+// afterFunc calls f after d in a goroutine of its own.
+func (r *Reporter) afterFunc(d time.Duration, f func()) *time.Timer {
+	return time.AfterFunc(d, func() { r.c.Recoverer.Do("timer", 0, f) })
+}
+
+// locked calls f with mu held. A panic in f releases mu.
+func (r *Reporter) locked(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+func (r *Reporter) handleNotice(from netip.AddrPort, payload []byte) {
 	switch kindOf(payload) {
 	case kindReport:
 		list, err := decodeReport(payload)
@@ -201,11 +220,11 @@
 		r.counts.findingsReceived.Add(1)
 		r.fanOut(m.origin, m.findings, m.targets)
 		now := time.Now()
-		r.mu.Lock()
-		for i := range m.findings {
-			r.aggregator.RecordSent(now, &m.findings[i])
-		}
-		r.mu.Unlock()
+		r.locked(func() {
+			for i := range m.findings {
+				r.aggregator.RecordSent(now, &m.findings[i])
+			}
+		})
 		r.c.Sink.AddFindings(m.findings)
 	case kindOutcome:
 		r.handleOutcome(from, payload)
@@ -216,12 +235,29 @@
 
 // add adds findings to the evidence of the aggregator and sends what is due. The origin replaces that of the findings if it is valid.
 func (r *Reporter) add(origin netip.AddrPort, list []steerer.Finding) {
-	self := r.c.Peers.Address()
 	peers, _ := r.zone()
 	members := r.candidates(peers)
 	now := time.Now()
 	var probes []steerer.Finding
-	r.mu.Lock()
+	r.locked(func() { probes = r.addEvidence(now, origin, members, list) })
+	r.sendDue()
+	for i := range probes {
+		r.startProbe(&probes[i])
+	}
+	if r.prober == nil {
+		return
+	}
+	for i := range list {
+		if list[i].Condition != steerer.Answering && list[i].Condition < steerer.Unreachable {
+			r.conclude(list[i].Server)
+		}
+	}
+}
+
+// addEvidence adds findings to the evidence of the aggregator and of the prober, and returns those whose backend servers are to be probed now.
+// The caller holds mu.
+func (r *Reporter) addEvidence(now time.Time, origin netip.AddrPort, members []netip.AddrPort, list []steerer.Finding) (probes []steerer.Finding) {
+	self := r.c.Peers.Address()
 	for _, f := range list {
 		if origin.IsValid() {
 			f.Origin = origin
@@ -235,38 +271,27 @@
 			if due := r.prober.AddFinding(now, rank, &f); due.Equal(now) {
 				probes = append(probes, f)
 			} else if !due.IsZero() {
-				time.AfterFunc(due.Sub(now), func() { r.startProbe(&f) })
+				r.afterFunc(due.Sub(now), func() { r.startProbe(&f) })
 			}
 		}
 	}
-	r.mu.Unlock()
-	r.sendDue()
-	for i := range probes {
-		r.startProbe(&probes[i])
-	}
-	if r.prober == nil {
-		return
-	}
-	for i := range list {
-		if list[i].Condition != steerer.Answering && list[i].Condition < steerer.Unreachable {
-			r.conclude(list[i].Server)
-		}
-	}
+	return probes
 }
 
 // sendDue sends the findings that are due to the zone and puts them in force here. It arms the timer for the next ones.
 func (r *Reporter) sendDue() {
 	now := time.Now()
-	r.mu.Lock()
-	list := r.aggregator.Due(now)
-	if next := r.aggregator.NextDue(); !next.IsZero() {
-		if r.timer == nil {
-			r.timer = time.AfterFunc(next.Sub(now), r.sendDue)
-		} else {
-			r.timer.Reset(next.Sub(now))
+	var list []steerer.Finding
+	r.locked(func() {
+		list = r.aggregator.Due(now)
+		if next := r.aggregator.NextDue(); !next.IsZero() {
+			if r.timer == nil {
+				r.timer = r.afterFunc(next.Sub(now), r.sendDue)
+			} else {
+				r.timer.Reset(next.Sub(now))
+			}
 		}
-	}
-	r.mu.Unlock()
+	})
 	if len(list) == 0 {
 		return
 	}
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -30,6 +30,7 @@
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
 	"github.com/bluebelldyke/bluebelldyke/modules/exposer"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/modules/sleeper"
 	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
 	"github.com/bluebelldyke/bluebelldyke/routers/operator"
@@ -91,7 +92,7 @@
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(c, c.Settings, c.Layout, entry),
-		fx.Provide(func() follower.Source { return c.Source }, newRandom, newSpooler, newLogger, newMetrics, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
+		fx.Provide(func() follower.Source { return c.Source }, newRandom, newSpooler, newLogger, newMetrics, newRecoverer, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
 		fx.Invoke(func(in components) { assembled = in }),
 	)
 	if err := app.Err(); err != nil {
@@ -131,6 +132,10 @@
 	return zap.New(zapcore.NewCore(encoder, output, level)), level, nil
 }
 
+func newRecoverer(logger *zap.Logger, meter metric.Meter) (*recoverer.Recoverer, error) {
+	return recoverer.New(recoverer.Config{Logger: logger, Meter: meter})
+}
+
 func newRecorder(s loader.Settings, logger *zap.Logger, audit *auditor.Auditor) *recorder.Recorder {
 	return recorder.New(recorder.Config{Logger: logger, Audit: trail(audit), LinesPerSecond: s.Log.LinesPerSecond, BytesPerSecond: s.Log.BytesPerSecond})
 }
@@ -145,6 +150,7 @@
 
 func newTransporter(
 	s loader.Settings, entry *net.UDPConn, layout editor.Layout, random *rand.Rand, records *recorder.Recorder, meter metric.Meter,
+	contains *recoverer.Recoverer,
 ) (*transporter.Transporter, error) {
 	t := transporter.New(transporter.Config{
 		EntryConn: entry, Layout: layout, Steerer: steerer.New(steerer.Config{
@@ -154,20 +160,23 @@
 			SpeedDigests: s.SpeedDigests, DigestOrigin: uint16(rand.Uint32()), EvenTies: s.EvenTies, StartLimit: s.StartLimit,
 			CrossZoneMargin: s.CrossZoneMargin,
 		}),
-		Recorder: records, Sleeper: sleeper.New(sleeper.TotalSuspended), ReportAtOnce: s.Probes, StartQueue: s.StartQueue,
+		Recorder: records, Recoverer: contains, Sleeper: sleeper.New(sleeper.TotalSuspended), ReportAtOnce: s.Probes, StartQueue: s.StartQueue,
 	})
 	return t, t.RegisterMetrics(meter)
 }
 
-func newPeers(s loader.Settings, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
+func newPeers(s loader.Settings, logger *zap.Logger, meter metric.Meter, contains *recoverer.Recoverer) (*peers.Peers, error) {
 	return peers.New(peers.Config{
 		Bind: s.Peer.Bind, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli()),
 		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Weak: s.Peer.Weak, FastDetection: s.Peer.FastDetection, Logger: logger, Meter: meter, Random: newRandom(),
+		Recoverer: contains,
 	})
 }
 
-func newReporter(s loader.Settings, t *transporter.Transporter, p *peers.Peers, logger *zap.Logger, meter metric.Meter) (*reporter.Reporter, error) {
-	c := reporter.Config{Peers: p, Sink: t, Logger: logger, AvailabilityZone: s.AvailabilityZone, Weak: s.Peer.Weak}
+func newReporter(
+	s loader.Settings, t *transporter.Transporter, p *peers.Peers, logger *zap.Logger, meter metric.Meter, contains *recoverer.Recoverer,
+) (*reporter.Reporter, error) {
+	c := reporter.Config{Peers: p, Sink: t, Logger: logger, Recoverer: contains, AvailabilityZone: s.AvailabilityZone, Weak: s.Peer.Weak}
 	if s.Probes {
 		c.References = t
 	}
@@ -188,13 +197,13 @@
 
 func newFollower(
 	s loader.Settings, source follower.Source, t *transporter.Transporter, p *peers.Peers, r *reporter.Reporter, records *recorder.Recorder,
-	logger *zap.Logger, meter metric.Meter, audit *auditor.Auditor,
+	logger *zap.Logger, meter metric.Meter, audit *auditor.Auditor, contains *recoverer.Recoverer,
 ) (*follower.Follower, error) {
 	f := follower.New(follower.Config{
 		Source: source, Sink: followerSink{t, r}, Peers: p, Logger: logger, AvailabilityZone: s.AvailabilityZone, AvailabilityZones: s.AvailabilityZones,
 		Seeds: s.Peer.Seeds, StalenessBounds: follower.StalenessBounds{BackendList: s.LeavingBound, Configuration: s.ConfigurationBound, Evacuations: s.EvacuationBound},
 		LimitsColdServers: !s.ColdLimit.IsZero(), TracksWarmUp: s.SpeedDigests, HandleDigest: t.AddDigest, Audit: trail(audit),
-		LinkRate: s.Peer.LinkRate, Weak: s.Peer.Weak,
+		LinkRate: s.Peer.LinkRate, Weak: s.Peer.Weak, Recoverer: contains,
 		HandleAdmissionReport: admissionReportHandler(s, t),
 	})
 	r.SetFollower(f)
--- a/internal/direct/transporter/counts.go
+++ b/internal/direct/transporter/counts.go
@@ -24,9 +24,11 @@
 type counts struct {
 	decisions             [actionCount][maxCauses]atomic.Uint64 // by steerer.Action and steerer.Cause
 	malformed, idleResets atomic.Uint64
-	pool                  poolCounts
-	placementTime         metric.Float64Histogram
-	retransmissions       metric.Int64Histogram
+	// refusedDocuments counts documents that were not put in force because of a panic, and rebuilds the rebuilds of the Steerer after one.
+	refusedDocuments, rebuilds atomic.Uint64
+	pool                       poolCounts
+	placementTime              metric.Float64Histogram
+	retransmissions            metric.Int64Histogram
 }
 
 // Bucket bounds of the histograms: a decision takes microseconds unless the process waits for a processor, and callers retransmit an
@@ -85,6 +87,14 @@
 	if err != nil {
 		return eris.Wrap(err, "metric direct.placements")
 	}
+	refused, err := m.Int64ObservableCounter("bluebelldyke.direct.refused-documents", metric.WithDescription("configurations, backend lists and sets of evacuated zones not put in force because of a panic"))
+	if err != nil {
+		return eris.Wrap(err, "metric direct.refused-documents")
+	}
+	rebuilds, err := m.Int64ObservableCounter("bluebelldyke.direct.rebuilds", metric.WithDescription("rebuilds of the state of flows from the documents in force after a panic"))
+	if err != nil {
+		return eris.Wrap(err, "metric direct.rebuilds")
+	}
 	zones, err := newZoneInstruments(m)
 	if err != nil {
 		return err
@@ -102,11 +112,16 @@
 	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		t.counts.observe(o, packets)
 		o.ObserveInt64(resets, int64(t.counts.idleResets.Load()))
-		t.mu.Lock()
-		servers := t.c.Steerer.Servers()
-		zoneCounts := t.c.Steerer.Zones(time.Now())
-		services, routes := t.c.Steerer.AdmissionServices(), t.c.Steerer.AdmissionRoutes()
-		t.mu.Unlock()
+		o.ObserveInt64(refused, int64(t.counts.refusedDocuments.Load()))
+		o.ObserveInt64(rebuilds, int64(t.counts.rebuilds.Load()))
+		var servers []steerer.ServerFlows
+		var zoneCounts map[string]steerer.ZoneCounts
+		var services []steerer.ServiceAdmission
+		var routes []steerer.RouteAdmission
+		t.guarded(readBoundary, func(now time.Time) {
+			servers, zoneCounts = t.c.Steerer.Servers(), t.c.Steerer.Zones(now)
+			services, routes = t.c.Steerer.AdmissionServices(), t.c.Steerer.AdmissionRoutes()
+		})
 		zones.observe(o, zoneCounts)
 		admission.observe(o, services, routes)
 		for _, b := range servers {
@@ -116,7 +131,7 @@
 			o.ObserveInt64(placed, int64(b.PlacedFlows), labels)
 		}
 		return nil
-	}, slices.Concat(zones.all(), admission.instruments(), []metric.Observable{packets, resets, flows, placed})...)
+	}, slices.Concat(zones.all(), admission.instruments(), []metric.Observable{packets, resets, flows, placed, refused, rebuilds})...)
 	if err != nil {
 		return eris.Wrap(err, "metrics of the transporter")
 	}
--- a/internal/direct/transporter/hold.go
+++ b/internal/direct/transporter/hold.go
@@ -77,11 +77,11 @@
 
 // ForwardHeld forwards all held packets and holds no further ones. It is called at the start of a planned stop.
 func (t *Transporter) ForwardHeld() {
-	now := time.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.c.Steerer.ReleaseAll(now)
-	t.release(now)
+	t.guarded(releaseBoundary, func(now time.Time) {
+		t.stopping = true
+		t.c.Steerer.ReleaseAll(now)
+		t.release(now)
+	})
 }
 
 // runReleases releases held packets in time. It wakes up only while packets are held.
@@ -96,13 +96,13 @@
 		case <-t.holdStarted:
 		case <-timer.C:
 		}
-		now := time.Now()
-		t.mu.Lock()
-		t.release(now)
-		at, ok := t.c.Steerer.NextReleaseAt(now)
-		t.mu.Unlock()
-		if ok {
-			timer.Reset(max(at.Sub(now), 0))
+		if !t.guarded(releaseBoundary, func(now time.Time) {
+			t.release(now)
+			if at, ok := t.c.Steerer.NextReleaseAt(now); ok {
+				timer.Reset(max(at.Sub(now), 0))
+			}
+		}) {
+			timer.Reset(tickInterval)
 		}
 	}
 }
--- a/internal/direct/transporter/placement.go
+++ b/internal/direct/transporter/placement.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/bluebelldyke/bluebelldyke/services/estimator"
+	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
 
 // SetZoneRank sets the function that returns the place of this daemon in the order of the daemons of its availability zone. It is called
@@ -20,9 +21,7 @@
 
 // AddDigest applies the speed digest of a peer.
 func (t *Transporter) AddDigest(digest []estimator.Record) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.c.Steerer.AddDigest(time.Now(), digest)
+	t.guarded(messageBoundary, func(now time.Time) { t.c.Steerer.AddDigest(now, digest) })
 }
 
 // registerPlacementMetrics registers the metrics of connections to backend servers and of slow backend servers.
@@ -42,9 +41,12 @@
 		return eris.Wrap(err, "metric direct.spilled-flows")
 	}
 	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		t.mu.Lock()
-		counts, slowServers, spilledFlows := t.c.Steerer.Connections(), t.c.Steerer.SlowServers(time.Now()), t.c.Steerer.SpilledFlows()
-		t.mu.Unlock()
+		var counts steerer.Connections
+		var slowServers int
+		var spilledFlows uint64
+		t.guarded(readBoundary, func(now time.Time) {
+			counts, slowServers, spilledFlows = t.c.Steerer.Connections(), t.c.Steerer.SlowServers(now), t.c.Steerer.SpilledFlows()
+		})
 		for _, c := range []struct {
 			cause string
 			count uint64
--- a/internal/direct/transporter/pool.go
+++ b/internal/direct/transporter/pool.go
@@ -24,9 +24,7 @@
 // AddAdmissionReport applies the admission report of a peer.
 func (t *Transporter) AddAdmissionReport(from netip.AddrPort, r steerer.AdmissionReport) {
 	t.counts.pool.received.Add(1)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.c.Steerer.AddAdmissionReport(time.Now(), from, r)
+	t.guarded(messageBoundary, func(now time.Time) { t.c.Steerer.AddAdmissionReport(now, from, r) })
 }
 
 // reportDelays sends the admission reports that are due.
--- a/internal/direct/transporter/report.go
+++ b/internal/direct/transporter/report.go
@@ -20,8 +20,7 @@
 }
 
 // Reference returns what is needed to probe a backend server.
-func (t *Transporter) Reference(id directory.ServerID) (steerer.Reference, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.c.Steerer.Reference(time.Now(), id)
+func (t *Transporter) Reference(id directory.ServerID) (r steerer.Reference, ok bool) {
+	t.guarded(readBoundary, func(now time.Time) { r, ok = t.c.Steerer.Reference(now, id) })
+	return r, ok
 }
--- a/internal/direct/transporter/start.go
+++ b/internal/direct/transporter/start.go
@@ -66,8 +66,12 @@
 	for _, queued := range t.queue.Take(time.Now()) {
 		w.packet = queued.Header
 		now := time.Now()
-		d := t.decide(now, queued.Payload, &w.packet)
-		t.carry(now, &w, queued.Payload, &d)
+		if !t.c.Recoverer.Do(packetBoundary, len(queued.Payload)-prefixSize, func() {
+			d := t.decide(now, queued.Payload, &w.packet)
+			t.carry(now, &w, queued.Payload, &d)
+		}) {
+			t.repair(now)
+		}
 	}
 	return nil
 }
--- a/internal/direct/transporter/status.go
+++ b/internal/direct/transporter/status.go
@@ -16,9 +16,9 @@
 
 // Status returns the state for operators. It holds up packets for the time to copy the list of backend servers.
 func (t *Transporter) Status() Status {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return Status{
-		Servers: t.c.Steerer.ServerStates(time.Now()), Admission: t.c.Steerer.AdmissionServices(), EndedFlows: t.counts.idleResets.Load(),
-	}
+	status := Status{EndedFlows: t.counts.idleResets.Load()}
+	t.guarded(readBoundary, func(now time.Time) {
+		status.Servers, status.Admission = t.c.Steerer.ServerStates(now), t.c.Steerer.AdmissionServices()
+	})
+	return status
 }
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -17,6 +17,7 @@
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/recorder"
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/modules/sleeper"
 	"github.com/bluebelldyke/bluebelldyke/services/estimator"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
@@ -65,6 +66,8 @@
 	Sleeper *sleeper.Detector
 	// ReportAtOnce makes new evidence be reported at once instead of with the next tick.
 	ReportAtOnce bool
+	// Recoverer contains panics; nil contains none.
+	Recoverer *recoverer.Recoverer
 	// StartQueue makes packets that arrive before the daemon is ready wait in an order by priority and age instead of in the socket.
 	StartQueue bool
 }
@@ -80,6 +83,9 @@
 	counts            counts
 	lastPacket        atomic.Int64 // when the latest packet was read, as time since started
 	mu                sync.Mutex   // guards the Steerer, the Recorder and the fields below
+	inForce           documents
+	repairedAt        time.Time // when the Steerer was last rebuilt after a panic at a packet or a tick
+	stopping          bool      // a planned stop is under way
 	receivedParts     [viewParts]bool
 	ready             chan struct{}
 	reportFindings    func([]steerer.Finding)
@@ -91,6 +97,7 @@
 	onSuspension      func(time.Duration)
 	onStaleList       func()
 	wake              chan struct{} // makes runTicks take findings at once
+	lastSweep         time.Time     // when the Steerer last dropped expired state
 	lastRun           time.Time     // latest tick, or the packet with which a pause was detected
 	lastUnknownTag    time.Time     // when a packet with an unknown tag last caused a read of the backend list
 	dropOpeningsUntil time.Time     // or until a new backend list
@@ -124,8 +131,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	t.c.Steerer.SetConfiguration(now, c)
-	t.c.Recorder.LogConfigurationChanges(now, c)
+	next := t.inForce
+	next.configuration = func(now time.Time, s *steerer.Steerer) { s.SetConfiguration(now, c) }
+	if !t.change(now, configurationBoundary, next.configuration, next) {
+		return
+	}
+	t.c.Recoverer.Do(logBoundary, 0, func() { t.c.Recorder.LogConfigurationChanges(now, c) })
 	t.queue.setRoutes(c)
 	t.setReceived(configurationPart)
 }
@@ -134,10 +145,14 @@
 func (t *Transporter) SetBackendList(l *directory.BackendList) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.dropOpeningsUntil = time.Time{}
 	now := time.Now()
-	t.c.Steerer.SetBackendList(now, l)
-	t.c.Recorder.LogBackendListChanges(now, l)
+	next := t.inForce
+	next.backendList = newBackendList(l, now)
+	if !t.change(now, backendListBoundary, next.backendList, next) {
+		return
+	}
+	t.dropOpeningsUntil = time.Time{}
+	t.c.Recoverer.Do(logBoundary, 0, func() { t.c.Recorder.LogBackendListChanges(now, l) })
 	t.setReceived(backendListPart)
 }
 
@@ -145,22 +160,24 @@
 func (t *Transporter) SetEvacuations(zones []string, revokedAt map[string]time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.c.Steerer.SetEvacuations(time.Now(), zones, revokedAt)
+	now := time.Now()
+	next := t.inForce
+	next.evacuations = func(now time.Time, s *steerer.Steerer) { s.SetEvacuations(now, zones, revokedAt) }
+	t.change(now, evacuationsBoundary, next.evacuations, next)
 }
 
 // AddFindings applies health findings of a peer. The slice belongs to the Transporter from then on.
 func (t *Transporter) AddFindings(findings []steerer.Finding) {
-	now := time.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	changed := findings[:0]
-	for _, f := range findings {
-		if t.c.Steerer.AddFinding(now, f) {
-			changed = append(changed, f)
+	t.guarded(messageBoundary, func(now time.Time) {
+		changed := findings[:0]
+		for _, f := range findings {
+			if t.c.Steerer.AddFinding(now, f) {
+				changed = append(changed, f)
+			}
 		}
-	}
-	t.reportSoon(len(changed) > 0)
-	t.c.Recorder.LogFindings("peer", changed) // peers repeat findings, and only the first report is logged
+		t.reportSoon(len(changed) > 0)
+		t.c.Recorder.LogFindings("peer", changed) // peers repeat findings, and only the first report is logged
+	})
 }
 
 // OnStaleBackendList sets the function that requests a read of the backend list: after a pause of the process, and when a packet's tag
@@ -208,9 +225,7 @@
 	if suspended == 0 {
 		return
 	}
-	t.mu.Lock()
-	t.dropOpeningsUntil = time.Now().Add(staleViewWait)
-	t.mu.Unlock()
+	t.guarded(tickBoundary, func(now time.Time) { t.dropOpeningsUntil = now.Add(staleViewWait) })
 	if t.onSuspension != nil {
 		t.onSuspension(suspended)
 	}
@@ -270,7 +285,6 @@
 func (t *Transporter) runTicks(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	var lastSweep time.Time
 	buffer := make([]byte, t.c.Layout.HeaderSize)
 	for {
 		select {
@@ -280,49 +294,63 @@
 		case <-t.wake:
 			time.Sleep(reportDelay)
 		}
-		now := time.Now()
-		t.detectSuspension()
-		var members []netip.AddrPort
-		if t.zoneMembers != nil {
-			members = t.zoneMembers()
-		}
-		rank := 0
-		if t.zoneRank != nil {
-			rank = t.zoneRank()
-		}
-		t.mu.Lock()
-		t.detectPause(now)
-		t.c.Steerer.SetZoneMembers(now, t.self, members)
-		t.c.Steerer.SetZoneRank(rank)
-		findings := t.c.Steerer.TakeFindings(now)
-		resets := t.c.Steerer.TakeLostFlows(now)
-		digest := t.c.Steerer.TakeDigest(now)
-		delays := t.c.Steerer.TakeAdmissionReports(now)
-		t.c.Recorder.LogFindings(recorder.FoundBySelf, findings)
-		for i := range resets {
-			t.c.Recorder.LogIdleReset(&resets[i])
-		}
-		if now.Sub(lastSweep) >= sweepInterval {
-			lastSweep = now
-			t.c.Steerer.Sweep(now)
-			t.c.Recorder.Flush(now)
-			t.c.Recorder.LogAdmission(t.c.Steerer.AdmissionServices())
-		}
-		t.mu.Unlock()
-		for i := range resets {
-			t.sendReset(buffer, &resets[i].Packet)
-		}
-		t.counts.idleResets.Add(uint64(len(resets)))
-		if len(findings) > 0 && t.reportFindings != nil {
-			t.reportFindings(findings)
-		}
-		if len(digest) > 0 && t.sendDigest != nil {
-			t.sendDigest(digest)
-		}
-		t.reportDelays(delays)
+		t.c.Recoverer.Do(tickBoundary, 0, func() { t.tick(buffer) })
 	}
 }
 
+// due is what a tick has taken from the Steerer.
+type due struct {
+	findings []steerer.Finding
+	resets   []steerer.LostFlow
+	digest   []estimator.Record
+	delays   []steerer.AdmissionReport
+}
+
+// tick does the periodic work once.
+func (t *Transporter) tick(buffer []byte) {
+	t.detectSuspension()
+	var members []netip.AddrPort
+	if t.zoneMembers != nil {
+		members = t.zoneMembers()
+	}
+	rank := 0
+	if t.zoneRank != nil {
+		rank = t.zoneRank()
+	}
+	var d due
+	t.guarded(tickBoundary, func(now time.Time) { d = t.takeDue(now, members, rank) })
+	for i := range d.resets {
+		t.sendReset(buffer, &d.resets[i].Packet)
+	}
+	t.counts.idleResets.Add(uint64(len(d.resets)))
+	if len(d.findings) > 0 && t.reportFindings != nil {
+		t.reportFindings(d.findings)
+	}
+	if len(d.digest) > 0 && t.sendDigest != nil {
+		t.sendDigest(d.digest)
+	}
+	t.reportDelays(d.delays)
+}
+
+// takeDue takes from the Steerer what is due at a tick. The caller holds mu.
+func (t *Transporter) takeDue(now time.Time, members []netip.AddrPort, rank int) due {
+	t.detectPause(now)
+	t.c.Steerer.SetZoneMembers(now, t.self, members)
+	t.c.Steerer.SetZoneRank(rank)
+	d := due{findings: t.c.Steerer.TakeFindings(now), resets: t.c.Steerer.TakeLostFlows(now), digest: t.c.Steerer.TakeDigest(now), delays: t.c.Steerer.TakeAdmissionReports(now)}
+	t.c.Recorder.LogFindings(recorder.FoundBySelf, d.findings)
+	for i := range d.resets {
+		t.c.Recorder.LogIdleReset(&d.resets[i])
+	}
+	if now.Sub(t.lastSweep) >= sweepInterval {
+		t.lastSweep = now
+		t.c.Steerer.Sweep(now)
+		t.c.Recorder.Flush(now)
+		t.c.Recorder.LogAdmission(t.c.Steerer.AdmissionServices())
+	}
+	return d
+}
+
 // forward handles packets until ctx ends.
 func (t *Transporter) forward(ctx context.Context) error {
 	w := worker{buffer: make([]byte, prefixSize+maxPacket), reset: make([]byte, t.c.Layout.HeaderSize)}
@@ -346,23 +374,33 @@
 	if err != nil {
 		return err
 	}
-	packet := w.buffer[prefixSize : prefixSize+n]
-	if err := t.c.Layout.Parse(packet, &w.packet); err != nil {
+	t.handleDatagram(w, n)
+	return nil
+}
+
+// handleDatagram handles the packet of n bytes in the buffer of w. After a panic the packet is dropped.
+func (t *Transporter) handleDatagram(w *worker, n int) {
+	defer func() { t.containPacket(recover(), n) }()
+	if err := t.c.Layout.Parse(w.buffer[prefixSize:prefixSize+n], &w.packet); err != nil {
 		t.counts.malformed.Add(1)
-		return nil
+		return
 	}
 	now := time.Now()
 	t.lastPacket.Store(int64(now.Sub(t.started)))
+	if d, queued := t.decideOrQueue(now, w.buffer[:prefixSize+n], &w.packet); !queued {
+		t.carry(now, w, w.buffer[:prefixSize+n], &d)
+	}
+}
+
+// decideOrQueue decides about a packet, or adds it to the start-up queue while that is active.
+func (t *Transporter) decideOrQueue(now time.Time, datagram []byte, p *editor.Packet) (d steerer.Decision, queued bool) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.queue.isActive() {
-		t.queue.add(now, &w.packet, w.buffer[:prefixSize+n])
-		t.mu.Unlock()
-		return nil
+		t.queue.add(now, p, datagram)
+		return d, true
 	}
-	d := t.decide(now, w.buffer[:prefixSize+n], &w.packet)
-	t.mu.Unlock()
-	t.carry(now, w, w.buffer[:prefixSize+n], &d)
-	return nil
+	return t.decide(now, datagram, p), false
 }
 
 // decide decides about a packet, whose datagram follows the room for the prefix. The caller holds mu.
--- a/routers/peers/peers.go
+++ b/routers/peers/peers.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/modules/packer"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/services/gossiper"
 )
 
@@ -76,6 +77,8 @@
 	FastDetection bool
 	Logger        *zap.Logger
 	Meter         metric.Meter
+	// Recoverer contains panics; nil contains none.
+	Recoverer *recoverer.Recoverer
 	// Random must not be used elsewhere, because it is not safe for concurrent use.
 	Random *rand.Rand
 	// Conn is used instead of a new socket if it is set; nil means a UDP socket on Bind.
@@ -88,6 +91,7 @@
 	conn         Conn
 	packer       *packer.Packer
 	logger       *zap.Logger
+	recoverer    *recoverer.Recoverer
 	gateForwards chan GateForward
 	counters     counters
 
@@ -122,7 +126,7 @@
 		return nil, errors.Join(err, conn.Close())
 	}
 	p := &Peers{
-		self: c.Advertise, conn: conn, packer: datagramPacker, logger: c.Logger,
+		self: c.Advertise, conn: conn, packer: datagramPacker, logger: c.Logger, recoverer: c.Recoverer,
 		gateForwards: make(chan GateForward, gateForwardCapacity),
 		gossiper: gossiper.New(gossiper.Config{
 			Self: c.Advertise, AvailabilityZone: c.AvailabilityZone, Incarnation: c.Incarnation, Seeds: c.Seeds, Weak: c.Weak, FastDetection: c.FastDetection, Random: c.Random,
@@ -171,7 +175,9 @@
 	ticker := time.NewTicker(gossiper.TickInterval)
 	defer ticker.Stop()
 	for {
-		p.runStep(func(now time.Time) []gossiper.Action { return p.gossiper.Tick(now) })
+		p.recoverer.Do("gossip-tick", 0, func() {
+			p.runStep(func(now time.Time) []gossiper.Action { return p.gossiper.Tick(now) })
+		})
 		select {
 		case <-ctx.Done():
 			return nil
@@ -192,7 +198,7 @@
 			p.counters.readErrors.Add(1)
 			continue
 		}
-		p.handleDatagram(buffer[:n])
+		p.recoverer.Do("peer-datagram", n, func() { p.handleDatagram(buffer[:n]) })
 	}
 }
 
@@ -227,11 +233,7 @@
 		versions = p.documents.Versions()
 	}
 	now := time.Now()
-	p.mu.Lock()
-	p.gossiper.SetVersions(versions)
-	actions := step(now)
-	p.mu.Unlock()
-	for _, a := range actions {
+	for _, a := range p.stepLocked(now, versions, step) {
 		switch a := a.(type) {
 		case gossiper.Send:
 			p.send(now, a.To, &a.Datagram)
@@ -251,6 +253,14 @@
 	}
 }
 
+// stepLocked runs one step of the gossiper and returns its actions. A panic releases mu.
+func (p *Peers) stepLocked(now time.Time, versions packer.Versions, step func(now time.Time) []gossiper.Action) []gossiper.Action {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gossiper.SetVersions(versions)
+	return step(now)
+}
+
 func (p *Peers) send(now time.Time, to netip.AddrPort, d *packer.Datagram) bool {
 	b, err := p.packer.Pack(make([]byte, 0, packer.MaxSize), now, to, d)
 	if err != nil {
--- a/services/limiter/limiter.go
+++ b/services/limiter/limiter.go
@@ -55,6 +55,9 @@
 	return &Limiter{c: c, maxMembers: 1, servers: map[directory.ServerID]*server{}}
 }
 
+// Renew returns a Limiter with the same settings that knows no members.
+func (l *Limiter) Renew() *Limiter { return New(l.c) }
+
 // SetMembers sets the members of the own availability zone that are in service. The list may contain this daemon.
 func (l *Limiter) SetMembers(now time.Time, self netip.AddrPort, members []netip.AddrPort) {
 	if l.started.IsZero() {
