steerer: a clock before 1970 ends the daemon

Callers saw: a daemon on a VM whose clock has lost the date, or is set to less than zero by a step, ends at the first response. Cause: the time buckets of requests in progress are indexed by the remainder of a negative number, which is negative. Change: the remainder is that of an unsigned number; consecutive buckets stay different, as the number of buckets divides 2^64. Seen before: TestClockBefore1970 ended with index -1 out of range. After: it passes.

--- a/services/steerer/load.go
+++ b/services/steerer/load.go
@@ -71,13 +71,13 @@
 func (r *requestsInProgress) bucketOf(now, sentAt time.Time) (*int, bool) {
 	current := now.UnixNano() / int64(bucketDuration)
 	for ; r.newestBucket < current && current-r.newestBucket <= inProgressBuckets; r.newestBucket++ {
-		r.counts[(r.newestBucket+1)%inProgressBuckets] = 0
+		r.counts[uint64(r.newestBucket+1)%inProgressBuckets] = 0
 	}
 	if r.newestBucket < current {
 		r.newestBucket, r.counts = current, [inProgressBuckets]int{}
 	}
 	bucket := sentAt.UnixNano() / int64(bucketDuration)
-	return &r.counts[bucket%inProgressBuckets], current-bucket < inProgressBuckets
+	return &r.counts[uint64(bucket)%inProgressBuckets], current-bucket < inProgressBuckets
 }
 
 // recordRequestStarted counts a forwarded request.
--- a/services/steerer/random_test.go
+++ b/services/steerer/random_test.go
@@ -421,6 +421,15 @@
 	return err
 }
 
+// TestClockBefore1970 guards against a daemon that ends because the clock of its VM has lost the date.
+func TestClockBefore1970(t *testing.T) {
+	m := newMachine(0)
+	m.now = time.Unix(-7, 0)
+	if err := m.run(2000); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestRandomViews guards against a panic, and against flows at the wrong backend servers, for random valid configurations, entries, messages of
 // peers and packets. STEERER_SEEDS sets the number of seeds.
 func TestRandomViews(t *testing.T) {
