encoder: odd evacuated zones or services make peers drop whole announcements

Callers saw: daemons without a read of their own kept an old list after an evacuation key without a name, with a long one or with one that is no valid text, with more than 32 evacuated zones, or with a nameless service that has a rate for the warm-up. Cause: the receiver rejects such announcements with all that they state; the sender did not check them.

--- a/internal/direct/encoder/encoder_test.go
+++ b/internal/direct/encoder/encoder_test.go
@@ -1,8 +1,10 @@
 package encoder
 
 import (
+	"fmt"
 	"net/netip"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,3 +58,32 @@
 		t.Errorf("decoded %+v, %v, want %+v", got, err, want)
 	}
 }
+
+// TestAnnouncementOfOddZones guards against announcements that peers drop whole, with the backend list, because of evacuated zones or services
+// that they cannot state.
+func TestAnnouncementOfOddZones(t *testing.T) {
+	zones := make([]string, maxZones+1)
+	for i := range zones {
+		zones[i] = fmt.Sprint("zone", i)
+	}
+	a := &Announcement{
+		Zone: "souillac", HasEra: true, ConfigVersion: 3, Services: []directory.Service{{WarmUpPerSecond: 2}, {Name: "shop", WarmUpPerSecond: 2}},
+		Evacuations: &evacuator.Snapshot{Evacuations: directory.Evacuations{Zones: zones}},
+	}
+	b, err := a.Encode(WithEvacuations)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := Decode(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := m.(*Announcement); got.ConfigVersion != 3 || got.Evacuations != nil || len(got.Services) != 1 {
+		t.Errorf("decoded %+v", got)
+	}
+	for _, name := range []string{"", "\xff", strings.Repeat("z", maxZoneName+1)} {
+		if IsZoneName(name) {
+			t.Errorf("zone %q", name)
+		}
+	}
+}
--- a/internal/direct/encoder/evacuation.go
+++ b/internal/direct/encoder/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 
@@ -50,12 +51,12 @@
 
 func (a *Announcement) encodeWithEvacuations(w wireEraAnnouncement) ([]byte, error) {
 	z := wireZoneAnnouncement{Announcement: w}
-	if e := a.Evacuations; e != nil {
+	if e := a.Evacuations; e != nil && len(e.Zones) <= maxZones && len(e.Lost) <= maxZones && len(e.Revoked) <= maxZones {
 		z.Known, z.Era, z.Revision, z.Age, z.Zones = true, e.Era, e.Position.Revision, toMilliseconds(e.Age), e.Zones
 		z.Lost, z.Revoked = zoneTimesToWire(e.Lost), zoneTimesToWire(e.Revoked)
 	}
 	for _, s := range a.Services {
-		if s.WarmUpPerSecond > 0 && len(z.Services) < maxServices {
+		if s.Name != "" && s.WarmUpPerSecond > 0 && len(z.Services) < maxServices {
 			z.Services = append(z.Services, wireService{Name: s.Name, WarmUpPerSecond: s.WarmUpPerSecond})
 		}
 	}
@@ -77,7 +78,7 @@
 		return nil
 	}
 	for _, zone := range w.Zones {
-		if !isZoneName(zone) {
+		if !IsZoneName(zone) {
 			return ErrMalformed
 		}
 	}
@@ -97,7 +98,10 @@
 	return nil
 }
 
-func isZoneName(name string) bool { return name != "" && len(name) <= maxZoneName }
+// IsZoneName reports whether messages can carry the name of a zone.
+func IsZoneName(name string) bool {
+	return name != "" && len(name) <= maxZoneName && utf8.ValidString(name)
+}
 
 func zoneTimesToWire(m map[string]time.Duration) []wireZoneTime {
 	var list []wireZoneTime
@@ -110,7 +114,7 @@
 func zoneTimesFromWire(list []wireZoneTime) (map[string]time.Duration, bool) {
 	var m map[string]time.Duration
 	for _, z := range list {
-		if !isZoneName(z.Zone) {
+		if !IsZoneName(z.Zone) {
 			return nil, false
 		}
 		if m == nil {
