platform: numbers out of range are not the same at all daemons

Callers saw: daemons requested the whole list again and again after an entry with more than 65,535 slots, split flows differently after a weight of 2^40 (0 at the daemons that got the configuration from a peer), and took sums of slots that overflow. Cause: messages between daemons carry 16 bits for slots and priorities, 32 for weights and whole milliseconds; the store's client accepted more. Peers' documents with addresses other than IPv4, or rates out of range, are dropped like malformed ones.

--- a/internal/direct/encoder/document.go
+++ b/internal/direct/encoder/document.go
@@ -88,14 +88,14 @@
 	c := &directory.Configuration{IdleTimeout: fromMilliseconds(w.IdleTimeout), Routes: make([]directory.Route, len(w.Routes))}
 	for i, r := range w.Routes {
 		ip, ok := netip.AddrFromSlice(r.IP)
-		if !ok || r.Port == 0 || len(r.Services) == 0 || len(r.Services) != len(r.Weights) {
+		if !ok || !ip.Is4() || r.Port == 0 || len(r.Services) == 0 || len(r.Services) != len(r.Weights) {
 			return nil, ErrMalformed
 		}
 		route := directory.Route{
 			Name: r.Name, Address: netip.AddrPortFrom(ip, r.Port), Timeout: fromMilliseconds(r.Timeout), TargetLatency: fromMilliseconds(r.Target), Priority: int(r.Priority),
 		}
 		for j := range r.Services {
-			route.Shares = append(route.Shares, directory.Share{Service: r.Services[j], Weight: int(r.Weights[j])})
+			route.Shares = append(route.Shares, directory.Share{Service: r.Services[j], Weight: int(min(r.Weights[j], directory.MaxWeight))})
 		}
 		c.Routes[i] = route
 	}
@@ -111,7 +111,7 @@
 
 func serverFromWire(w *wireServer) (directory.BackendServer, error) {
 	ip, ok := netip.AddrFromSlice(w.IP)
-	if !ok || w.ID == 0 || w.Port == 0 || w.Slots == 0 {
+	if !ok || !ip.Is4() || w.ID == 0 || w.Port == 0 || w.Slots == 0 {
 		return directory.BackendServer{}, ErrMalformed
 	}
 	return directory.BackendServer{
--- a/internal/direct/encoder/evacuation.go
+++ b/internal/direct/encoder/evacuation.go
@@ -69,7 +69,7 @@
 		return ErrMalformed
 	}
 	for _, s := range w.Services {
-		if s.Name == "" || !(s.WarmUpPerSecond > 0) {
+		if s.Name == "" || !(s.WarmUpPerSecond > 0 && s.WarmUpPerSecond <= directory.MaxWarmUpPerSecond) {
 			return eris.Wrap(ErrMalformed, "service without a name or a rate")
 		}
 		a.Services = append(a.Services, directory.Service{Name: s.Name, WarmUpPerSecond: s.WarmUpPerSecond})
