tests/soak: no daemon process ends but by a signal of the soak

So far the soak started killed daemons again itself and did not look at how a process ended. A panic between two faults showed only if it cost requests in the observation time, and a daemon that ended at its start only as a failed start of the whole run.

SIGKILL ends a process, SIGTERM makes it exit with 0, and before a process is ready SIGTERM may end it; anything else is a broken guarantee, and so is a report of the race detector.

With -ends the soak also draws signals in the first milliseconds, a second SIGTERM and SIGHUP during a drain, a start beside the predecessor, settings that are rewritten in place, changes of priorities, timeouts, targets, weights and numbers of routes, and odd entries, configurations, evacuations, eras and packets, with the settings of the deploy template and two routes of different priorities for each service. With -share each daemon gets slices of a core only; bounds of times are then printed but not checked.

--- a/tests/soak/main.go
+++ b/tests/soak/main.go
@@ -1,11 +1,14 @@
 // Command soak runs the daemons of direct server return as real processes on loopback and injects faults from outside, which are
 // drawn from a seed and overlap: daemons are stopped, killed and paused, backend servers drain and crash, the configuration
 // store fails in each way, compacts its history, stops responding and is restored from an older copy, and the configuration changes. The links to daemons and to
-// the store lose, duplicate, delay and block packets or reset connections, some in one direction only. Meanwhile callers and
+// the store lose, duplicate, delay and block packets or reset connections, some in one direction only. With -ends, daemons also get signals in
+// their first milliseconds and while they drain, start beside their predecessor, and read incomplete settings and odd inputs. No process
+// may end but by a signal of the soak. Meanwhile callers and
 // backend servers check the guarantees, such as that no request runs twice. The report is a Markdown page with a plot.
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
@@ -14,6 +17,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 )
 
 func main() {
@@ -24,7 +28,14 @@
 	flag.IntVar(&o.runs, "runs", 1, "number of runs, with consecutive seeds")
 	flag.BoolVar(&o.runRegressions, "regressions", false, "run the seeds that failed in the past instead")
 	flag.DurationVar(&o.runDuration, "length", 20*time.Second, "length of a run")
+	flag.BoolVar(&o.processFaults, "ends", false, "also draw faults of starts, stops, settings and inputs, with the settings of the deploy template")
+	flag.IntVar(&o.daemons, "daemons", 6, "number of daemons in the 3 availability zones")
+	flag.Float64Var(&o.share, "share", 0, "share of a core that each daemon gets, such as 0.088; 0 means no limit. Bounds of times are not checked then")
+	flag.IntVar(&o.busy, "busy", 0, "number of busy goroutines beside the daemons")
 	flag.Parse()
+	if err := os.Setenv("GORACE", "halt_on_error=0 exitcode=0"); err != nil { // for daemons that are built with -race
+		panic(err)
+	}
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
@@ -37,6 +48,9 @@
 	runs                 int
 	runRegressions       bool
 	runDuration          time.Duration
+	processFaults        bool
+	daemons, busy        int
+	share                float64
 }
 
 // seeds returns the seeds to run, each with whether link faults are drawn.
@@ -55,6 +69,19 @@
 	if o.firstSeed == 0 {
 		o.firstSeed = uint64(time.Now().UnixNano())
 	}
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	for range o.busy {
+		group.Go(func() error {
+			for ctx.Err() == nil { // keeps a thread busy
+			}
+			return nil
+		})
+	}
+	defer func() {
+		stop()
+		_ = group.Wait()
+	}()
 	var results []*runResult
 	violations := 0
 	for _, c := range o.seeds() {
@@ -68,6 +95,9 @@
 			violations++
 			fmt.Println("  broken guarantee:", v)
 		}
+		for _, text := range r.observations {
+			fmt.Println("  observed, not checked with a share of a core:", text)
+		}
 	}
 	if err := os.MkdirAll(o.reportDir, 0o755); err != nil {
 		return eris.Wrap(err, "create the directory for the report")
--- a/tests/standins/direct/caller.go
+++ b/tests/standins/direct/caller.go
@@ -42,6 +42,7 @@
 	RequestPause    time.Duration // between two requests
 	Deadline        time.Duration // of a request, after which its flow counts as failed
 	Violations      *Violations
+	FirstRequestID  uint64 // request ids are greater; callers of one service need ids of their own
 	// ForbidResets makes each reset of an open flow a violation while it is set.
 	ForbidResets *atomic.Bool
 }
@@ -77,6 +78,7 @@
 	}
 	callers := &Callers{config: c, conn: conn, flows: map[uint16]chan receivedPacket{}, answerTimes: hdrhistogram.New(1, maxLatencyMicros, significantDigits)}
 	callers.lastPort.Store(20000)
+	callers.lastRequestID.Store(c.FirstRequestID)
 	return callers, nil
 }
 
