--- a/Makefile
+++ b/Makefile
@@ -62,9 +62,14 @@
 replay: ## Replay recorded loads against the decision code and a baseline, with plots (CASE=name for one).
 	$(GO) run ./tests/replay -seed $(SEED) -case "$(CASE)"
 
-soak: build ## Run the fault soak with SOAK_SEED (0: fresh seeds) and the mixed-fault test in its long form.
+soak: build ## Run the fault soak with SOAK_SEED (0: fresh seeds) in each mode, and the mixed-fault test in its long form.
+	$(GO) build -race -o $(BIN)/race/ .
 	$(BIN)/soak -regressions
 	$(BIN)/soak -seed $(SOAK_SEED) -runs $(SOAK_RUNS)
+	$(BIN)/soak -ends -seed $(SOAK_SEED) -runs $(SOAK_RUNS)
+	$(BIN)/soak -ends -seed $(SOAK_SEED) -runs $(SOAK_RUNS) -binaries $(BIN)/race
+	$(BIN)/soak -ends -seed $(SOAK_SEED) -runs $(SOAK_RUNS) -daemons 7 -share 0.088
+	$(BIN)/soak -ends -seed $(SOAK_SEED) -runs $(SOAK_RUNS) -daemons 8 -share 0.4
 	SOAK=1 $(GO) test -count=1 -timeout 30m ./tests/integration/... -ginkgo.focus 'mixed faults'
 
 clean: ## Remove what the build wrote.
--- a/tests/harness/deployment/ends.go
+++ b/tests/harness/deployment/ends.go
@@ -58,7 +58,12 @@
 // Cause returns how the process has ended and the line of its output that says why, without numbers that differ from run to run.
 func (e *End) Cause() string {
 	line := ""
-	if len(e.Output) > 0 {
+	switch {
+	case e.Status.Signaled() && e.WasReady: // the output says nothing about a signal
+		line = "of a process that was ready"
+	case e.Status.Signaled():
+		line = "of a process that was not ready"
+	case len(e.Output) > 0:
 		line = e.Output[len(e.Output)-1]
 		if isStackStart(e.Output[0]) {
 			line = e.Output[0] + ", in " + firstOwnFrame(e.Output)
@@ -126,7 +131,7 @@
 	const module = "github.com/bluebelldyke/bluebelldyke/"
 	for _, line := range stack {
 		if rest, ok := strings.CutPrefix(line, module); ok {
-			return rest[:max(strings.IndexByte(rest, '('), 0)]
+			return rest[:max(strings.LastIndexByte(rest, '('), 0)]
 		}
 	}
 	return "no function of the module"
--- a/tests/harness/share.go
+++ b/tests/harness/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"syscall"
 	"time"
 )
@@ -10,11 +11,12 @@
 const sharePeriod = 100 * time.Millisecond
 
 // LimitShare lets the process run for a share of each period only, from its start until it has exited or ctx ends. It stops the process with
-// SIGSTOP for the rest of the period, so that the process sees its time in slices, as under a quota of a small VM.
+// SIGSTOP for the rest of the period, so that the process sees its time in slices, as under a quota of a small VM. The start lies anywhere in
+// the slice of its period.
 func (p *Process) LimitShare(ctx context.Context, share float64) {
 	running := time.Duration(share * float64(sharePeriod))
-	for {
-		if !p.waitSlice(ctx, running) {
+	for slice := rand.N(running); ; slice = running {
+		if !p.waitSlice(ctx, slice) {
 			return
 		}
 		p.setSliced(syscall.SIGSTOP)
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -67,6 +67,8 @@
 	linkFaultsEnabled bool // also draws link faults
 	// processFaultsEnabled also draws faults of starts, stops, settings and inputs.
 	processFaultsEnabled bool
+	routes               []directory.Route // of the newest configuration with random routes
+	lastExtraRoute       int
 	evacuating           bool // a zone is evacuated
 	checksTimes          bool // bounds of times are checked
 	err                  error
@@ -327,6 +329,7 @@
 // baseRoutes returns the routes of all callers.
 func (in *injector) baseRoutes() []directory.Route {
 	if in.processFaultsEnabled {
+		in.routes = deployment.PriorityRoutes()
 		return deployment.PriorityRoutes()
 	}
 	return deployment.Routes()
--- a/tests/soak/routes.go
+++ b/tests/soak/routes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
@@ -12,6 +13,7 @@
 const (
 	maxExtraRoutes = 12
 	bigRouteCount  = 400
+	maxRouteNumber = 1000
 	// Changes of a storm, and the time between two.
 	stormChanges  = 12
 	stormInterval = 330 * time.Millisecond
@@ -29,16 +31,23 @@
 		routes = append(routes, in.changeRoute(r))
 	}
 	for i := range extra {
-		r := directory.Route{Name: fmt.Sprint("extra-", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(1 + i/200), byte(1 + i%200)}), 8443)}
-		for _, service := range []string{"ovenwatch", "recipecard", "absent"}[in.random.IntN(3):] {
-			r.Shares = append(r.Shares, directory.Share{Service: service, Weight: in.random.IntN(4) * in.random.IntN(100)})
-		}
-		routes = append(routes, in.changeRoute(r))
+		routes = append(routes, in.extraRoute(i))
 	}
 	in.random.Shuffle(len(routes), func(i, j int) { routes[i], routes[j] = routes[j], routes[i] })
 	return routes
 }
 
+// extraRoute returns a route without callers.
+func (in *injector) extraRoute(number int) directory.Route {
+	r := directory.Route{Name: fmt.Sprint("extra-", number), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(1 + number/200), byte(1 + number%200)}), 8443)}
+	services := []string{"ovenwatch", "recipecard", "absent"}
+	first := in.random.IntN(len(services))
+	for _, service := range services[first : first+1+in.random.IntN(len(services)-first)] {
+		r.Shares = append(r.Shares, directory.Share{Service: service, Weight: in.random.IntN(4) * in.random.IntN(100)})
+	}
+	return in.changeRoute(r)
+}
+
 func (in *injector) changeRoute(r directory.Route) directory.Route {
 	if in.random.IntN(3) > 0 {
 		r.Priority = in.random.IntN(5)
@@ -52,11 +61,34 @@
 	return r
 }
 
+// changeRoutes publishes other routes, or the last ones with a few changes.
 func (in *injector) changeRoutes() {
-	in.PublishConfiguration(in.randomRoutes(in.random.IntN(maxExtraRoutes)))
+	if in.routes == nil || in.random.IntN(3) == 0 {
+		in.publishRoutes(in.randomRoutes(in.random.IntN(maxExtraRoutes)))
+		return
+	}
+	routes := slices.Clone(in.routes)
+	for range 1 + in.random.IntN(3) {
+		at := in.random.IntN(max(len(routes), 1))
+		switch {
+		case len(routes) == 0 || in.random.IntN(2) == 0:
+			in.lastExtraRoute = (in.lastExtraRoute + 1) % maxRouteNumber
+			routes = append(routes, in.extraRoute(maxRouteNumber+in.lastExtraRoute))
+		case in.random.IntN(2) == 0:
+			routes[at] = in.changeRoute(routes[at])
+		default:
+			routes = slices.Delete(routes, at, at+1)
+		}
+	}
+	in.publishRoutes(routes)
+}
+
+func (in *injector) publishRoutes(routes []directory.Route) {
+	in.routes = routes
+	in.PublishConfiguration(routes)
 }
 
-func (in *injector) growRoutes() { in.PublishConfiguration(in.randomRoutes(bigRouteCount)) }
+func (in *injector) growRoutes() { in.publishRoutes(in.randomRoutes(bigRouteCount)) }
 
 // stormRoutes publishes changes in quick succession.
 func (in *injector) stormRoutes() {
