--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -5,6 +5,7 @@
 import (
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"runtime"
 	"slices"
@@ -47,6 +48,9 @@
 
 // NewStarter returns a Starter, which must be closed.
 func NewStarter() *Starter {
+	if signal.Ignored(syscall.SIGHUP) { // as under nohup. Programs would inherit that, and a signal that ends one elsewhere would go unnoticed
+		signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	}
 	s := &Starter{requests: make(chan func())}
 	s.group.Go(func() error {
 		runtime.LockOSThread()
