--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -104,6 +104,9 @@
 // Terminate sends SIGTERM, which requests a graceful shutdown.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// Interrupt sends SIGINT. A second one ends the process at once.
+func (p *Process) Interrupt() { p.signal(syscall.SIGINT) }
+
 // Hangup sends SIGHUP, on which a daemon reloads its settings.
 func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
 
--- a/tests/harness/share.go
+++ b/tests/harness/share.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // sharePeriod is the period in which a process with a share of a core runs once.
@@ -50,3 +52,11 @@
 		_ = p.cmd.Process.Signal(s)
 	}
 }
+
+// Throttle lets the process run only for the given time of each period until stop is called.
+func (p *Process) Throttle(run time.Duration) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { p.LimitShare(ctx, float64(run)/float64(sharePeriod)); return nil })
+	return func() { cancel(); _ = group.Wait() }
+}
