--- a/internal/direct/runner/process.go
+++ b/internal/direct/runner/process.go
@@ -108,7 +108,7 @@
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(c, p, settings, settingsContent(content), c.Layout, entry, log.logger, log.level, log.spooler),
-		fx.Provide(func() follower.Source { return source }, newRandom, newMetrics, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
+		fx.Provide(func() follower.Source { return source }, newRandom, newMetrics, newRecoverer, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
 		fx.Invoke(func(in components) { assembled = in }),
 	)
 	if err := app.Err(); err != nil {
