--- a/internal/direct/runner/process.go
+++ b/internal/direct/runner/process.go
@@ -16,7 +16,6 @@
 
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/follower"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
-	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
 	"github.com/bluebelldyke/bluebelldyke/modules/stopper"
@@ -26,7 +25,7 @@
 	// outputEndLimit is the longest wait for the log output at the end of the process.
 	outputEndLimit = 400 * time.Millisecond
 	// settingsWait is how long a starting daemon waits for valid settings: the file may be about to be written.
-	settingsWait = 0
+	settingsWait = 2 * time.Second
 	// settingsRetryInterval is the interval at which it reads the file meanwhile.
 	settingsRetryInterval = 50 * time.Millisecond
 )
@@ -99,16 +98,18 @@
 	if err != nil {
 		return err
 	}
-	entry, err := transporter.Listen(settings.EntryBind)
+	bound, err := bind(signals.Stopping(), settings, log.logger)
+	if signals.Stopping().Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
-	defer entry.Close() // has no effect if Transporter.Run has closed it
 	var assembled components
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(c, p, settings, settingsContent(content), c.Layout, entry, log.logger, log.level, log.spooler),
-		fx.Provide(func() follower.Source { return source }, newRandom, newMetrics, newRecoverer, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
+		fx.Supply(c, p, settings, settingsContent(content), c.Layout, log.logger, log.level, log.spooler),
+		fx.Provide(func() follower.Source { return source }, bound.provide, newRandom, newMetrics, newRecoverer, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
 		fx.Invoke(func(in components) { assembled = in }),
 	)
 	if err := app.Err(); err != nil {
@@ -126,6 +127,7 @@
 	var latest []byte
 	var s loader.Settings
 	var err error
+	warned := false
 	for deadline := time.Now().Add(settingsWait); ; {
 		content, readErr := configurer.ReadFile(file)
 		switch {
@@ -141,6 +143,10 @@
 		if !time.Now().Before(deadline) {
 			return s, nil, err
 		}
+		if !warned {
+			warned = true
+			logger.Warn("no valid settings yet: reading the file again", zap.Duration("limit", settingsWait), zap.Error(err))
+		}
 		select {
 		case <-ctx.Done():
 			return s, nil, context.Cause(ctx)
--- a/tests/harness/deployment/daemons.go
+++ b/tests/harness/deployment/daemons.go
@@ -29,8 +29,9 @@
 	held      bool
 	// OperatorAddress is where the daemon answers the queries of operators.
 	OperatorAddress netip.AddrPort
+	// EntryAddress and PeerAddress are where the daemon receives packets of callers and messages of other daemons.
+	EntryAddress, PeerAddress netip.AddrPort
 	Links
-	peerAddress netip.AddrPort
 }
 
 // Links forward the traffic to a daemon, and its connections to the store.
@@ -42,7 +43,8 @@
 func (d *Deployment) addDaemon(zone, number int, store netip.AddrPort) error {
 	daemon := &Daemon{Name: fmt.Sprintf("daemon-%d-%d", zone, number), Zone: zoneName(zone), zone: zone, fabricTarget: direct.Target{
 		Entry: d.address(kindLink, zone, number, portEntry), Readiness: d.address(kindDaemon, zone, number, portReadiness),
-	}, OperatorAddress: d.address(kindDaemon, zone, number, portOperator), peerAddress: d.address(kindLink, zone, number, portPeer)}
+	}, OperatorAddress: d.address(kindDaemon, zone, number, portOperator), EntryAddress: d.address(kindDaemon, zone, number, portEntry),
+		PeerAddress: d.address(kindDaemon, zone, number, portPeer)}
 	if err := d.openLinks(daemon, zone, number, store); err != nil {
 		return err
 	}
@@ -74,8 +76,8 @@
 [bounds]
 leaving = %q
 configuration = %q
-`, daemon.Name, daemon.Zone, strings.Join(zones, ", "), d.address(kindDaemon, zone, number, portEntry), daemon.fabricTarget.Readiness, daemon.OperatorAddress,
-		d.address(kindDaemon, zone, number, portPeer), d.address(kindLink, zone, number, portPeer), d.address(kindLink, 0, 0, portPeer), d.address(kindLink, zone, number, portStore), GracePeriod, LeavingBound, ConfigurationBound)
+`, daemon.Name, daemon.Zone, strings.Join(zones, ", "), daemon.EntryAddress, daemon.fabricTarget.Readiness, daemon.OperatorAddress,
+		daemon.PeerAddress, d.address(kindLink, zone, number, portPeer), d.address(kindLink, 0, 0, portPeer), d.address(kindLink, zone, number, portStore), GracePeriod, LeavingBound, ConfigurationBound)
 	if d.config.Evacuations {
 		content += fmt.Sprintf("evacuation = %q\nwarm-up-overage = 1.5\nwarm-up-slack = %d\n", EvacuationBound, ColdLimit)
 	}
@@ -130,15 +132,12 @@
 	return nil
 }
 
+// ReadinessAddress returns where the daemon answers readiness checks.
+func (daemon *Daemon) ReadinessAddress() netip.AddrPort { return daemon.fabricTarget.Readiness }
+
 // SettingsFile returns the settings file of a daemon.
 func (daemon *Daemon) SettingsFile() string { return daemon.settingsFile }
 
-// EntryAddress returns where the fabric sends packets to the daemon.
-func (daemon *Daemon) EntryAddress() netip.AddrPort { return daemon.fabricTarget.Entry }
-
-// PeerAddress returns where peers send datagrams to the daemon.
-func (daemon *Daemon) PeerAddress() netip.AddrPort { return daemon.peerAddress }
-
 // ZoneNumber returns the number of the daemon's availability zone.
 func (daemon *Daemon) ZoneNumber() int { return daemon.zone }
 
--- a/tests/soak/inputs.go
+++ b/tests/soak/inputs.go
@@ -260,10 +260,10 @@
 		copy(b[layout.SourceIP:], source[:])
 		copy(b[layout.DestinationIP:], target[:])
 		copy(b[layout.DestinationPort:], []byte{byte(destination.Port() >> 8), byte(destination.Port())})
-		to := daemon.EntryAddress()
+		to := daemon.EntryAddress
 		switch in.random.IntN(6) {
 		case 0:
-			to = daemon.PeerAddress()
+			to = daemon.PeerAddress
 		case 1:
 			b = b[:in.random.IntN(layout.HeaderSize)]
 		}
