--- a/tests/harness/deployment/ends.go
+++ b/tests/harness/deployment/ends.go
@@ -46,6 +46,13 @@
 	return false
 }
 
+// IsExplained reports whether a process that has exited states the cause on its last line.
+func (e *End) IsExplained() bool {
+	return e.Status.Signaled() || (len(e.Output) > 0 && lastLine.MatchString(e.Output[len(e.Output)-1]))
+}
+
+var lastLine = regexp.MustCompile(`"msg":"daemon ends","cause":"[^"]`)
+
 func (e *End) wasSent(s syscall.Signal) bool {
 	for _, sent := range e.Signals {
 		if sent.Signal == s {
--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -150,6 +150,12 @@
 	return p.cmd.ProcessState.Sys().(syscall.WaitStatus), p.endedAt
 }
 
+// HasOutput reports whether the process has written anything.
+func (p *Process) HasOutput() bool {
+	info, err := os.Stat(p.LogFile)
+	return err == nil && info.Size() > 0
+}
+
 // Running reports whether the process has not exited.
 func (p *Process) Running() bool {
 	select {
--- a/tests/soak/main.go
+++ b/tests/soak/main.go
@@ -29,6 +29,7 @@
 	flag.BoolVar(&o.runRegressions, "regressions", false, "run the seeds that failed in the past instead")
 	flag.DurationVar(&o.runDuration, "length", 20*time.Second, "length of a run")
 	flag.BoolVar(&o.processFaults, "ends", false, "also draw faults of starts, stops, settings and inputs, with the settings of the deploy template")
+	flag.BoolVar(&o.signalsAfterOutput, "signals-after-output", false, "with -ends, send early signals only once a process has written a line; before, SIGHUP ends any program")
 	flag.IntVar(&o.daemons, "daemons", 6, "number of daemons in the 3 availability zones")
 	flag.Float64Var(&o.share, "share", 0, "share of a core that each daemon gets, such as 0.088; 0 means no limit. Bounds of times are not checked then")
 	flag.IntVar(&o.busy, "busy", 0, "number of busy goroutines beside the daemons")
@@ -49,6 +50,7 @@
 	runRegressions       bool
 	runDuration          time.Duration
 	processFaults        bool
+	signalsAfterOutput   bool
 	daemons, busy        int
 	share                float64
 }
--- a/tests/soak/processes.go
+++ b/tests/soak/processes.go
@@ -14,6 +14,9 @@
 	// maxIncomplete is the longest time that a settings file stays incomplete.
 	maxIncomplete = 300 * time.Millisecond
 	killTimeout   = time.Second
+	// outputTimeout bounds the wait for the first output of a process, and outputPollInterval is the time between two looks at it.
+	outputTimeout      = 2 * time.Second
+	outputPollInterval = 200 * time.Microsecond
 )
 
 // processFaults returns the faults of starts, stops and settings of processes.
@@ -43,6 +46,7 @@
 
 // sendEarly sends one to three signals to a process that was just started, most of them in its first milliseconds.
 func (in *injector) sendEarly(p *harness.Process) {
+	in.awaitOutput(p)
 	for range 1 + in.random.IntN(3) {
 		u := in.random.Float64()
 		time.Sleep(time.Duration(u * u * u * float64(maxEarlySignal)))
@@ -54,6 +58,14 @@
 	}
 }
 
+// awaitOutput waits for the first output of a process if the option says so. Until the runtime of a program has started, SIGHUP ends it by its
+// default action.
+func (in *injector) awaitOutput(p *harness.Process) {
+	for end := time.Now().Add(outputTimeout); in.signalsAfterOutput && !p.HasOutput() && p.Running() && time.Now().Before(end); {
+		time.Sleep(outputPollInterval)
+	}
+}
+
 func (in *injector) signalEarly() {
 	if daemon := in.pickDaemon(); daemon != nil {
 		in.replaceProcess(daemon)
@@ -71,6 +83,7 @@
 		}
 	}
 	for _, daemon := range started {
+		in.awaitOutput(daemon.Process)
 		daemon.Hangup()
 	}
 }
