steerer: memory grows with entries that name ever new zones

Callers saw nothing yet: 1,000 changes of the zone of one entry left the estimates of 1,001 zones in memory. Cause: the estimates of round trips by zone were never dropped. Change: from 32 zones on, those without backend servers are dropped with the next list. Seen before: TestEverNewZones counted 1,001. After: it passes.

--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -18,6 +19,8 @@
 	// removalGrace is how long the entry of a backend server must be missing before its flows are reset: entries that expire
 	// during an outage of the platform return within about 2 s after it.
 	removalGrace = 2500 * time.Millisecond
+	// maxUnusedZones is the number of zones from which on the estimates of those without backend servers are dropped.
+	maxUnusedZones = 32
 	// restoreGrace is how long after a restore of the platform's store an entry may be that of the copy. Entries of running backend
 	// servers are written again within 2 s, the others expire after three heartbeats of up to 1.2 s.
 	restoreGrace = 5 * time.Second
@@ -188,6 +191,7 @@
 	for _, servers := range s.serversByService {
 		slices.SortFunc(servers, func(a, b *backendServer) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	s.forgetZoneRoundTrips()
 	s.zonesWithServers = len(zones)
 	s.tags = tagger.New(ids)
 	s.rebuildOrders()
@@ -195,6 +199,18 @@
 	s.updateAdmissionSlots()
 }
 
+// forgetZoneRoundTrips drops the estimates of zones without backend servers, so that entries that name ever new zones take up no memory.
+func (s *Steerer) forgetZoneRoundTrips() {
+	if len(s.zoneRoundTrips) <= maxUnusedZones {
+		return
+	}
+	used := map[string]bool{s.config.AvailabilityZone: true}
+	for _, b := range s.servers {
+		used[b.AvailabilityZone] = true
+	}
+	maps.DeleteFunc(s.zoneRoundTrips, func(zone string, _ *roundTrip) bool { return !used[zone] })
+}
+
 // zoneRoundTrip returns the round-trip estimate of handshakes with backend servers in an availability zone.
 func (s *Steerer) zoneRoundTrip(zone string) *roundTrip {
 	if s.zoneRoundTrips[zone] == nil {
