tests/soak: odd entries that stay, odd keys and eras

An odd entry of another writer may stay for good, and the daemons must go on following the store. So far the soak removed each one before it looked at the recovery. The new fault leaves entries under odd keys, one of which is no valid text; eras far ahead are drawn too.

--- a/tests/harness/deployment/daemons.go
+++ b/tests/harness/deployment/daemons.go
@@ -23,10 +23,9 @@
 	fabricTarget direct.Target
 	settingsFile string
 	zone         int
-	// starts counts the processes of the daemon. restartAt is when the supervisor starts the next one, zero while one is running; not while the daemon is held.
-	starts    int
-	restartAt time.Time
-	held      bool
+	starts       int       // of its processes
+	restartAt    time.Time // when the supervisor starts the next process; zero while one is running
+	held         bool      // the supervisor starts no process
 	// OperatorAddress is where the daemon answers the queries of operators.
 	OperatorAddress netip.AddrPort
 	// EntryAddress and PeerAddress are where the daemon receives packets of callers and messages of other daemons.
--- a/tests/harness/deployment/deployment.go
+++ b/tests/harness/deployment/deployment.go
@@ -83,8 +83,8 @@
 	AsDeployed bool
 	// Supervised makes Supervise follow the processes. Each start of a daemon has a log file of its own.
 	Supervised bool
-	// Share is the share of a core that each daemon gets, in slices of its start and of its whole life. The bounds of times don't hold for daemons
-	// with a share, so they are not checked. 0 means no limit.
+	// Share is the share of a core that each daemon gets, from its start on. The bounds of times don't hold for daemons with a share, so they are
+	// not checked. 0 means no limit.
 	Share float64
 	// LowPriorityRoutes gives each service a second route, with callers and a lower priority.
 	LowPriorityRoutes bool
--- a/tests/soak/inputs.go
+++ b/tests/soak/inputs.go
@@ -38,7 +38,7 @@
 		{"routes", in.changeRoutes}, {"routes", in.changeRoutes}, {"routes-storm", in.stormRoutes}, {"routes-many", in.growRoutes},
 		{"odd-entry", func() { in.putOddEntries(1) }}, {"odd-entries", func() { in.putOddEntries(5 + in.random.IntN(40)) }},
 		{"odd-backends", in.addOddBackends}, {"odd-configuration", in.publishOddConfiguration}, {"odd-evacuation", in.putOddEvacuations},
-		{"odd-era", in.setOddEra}, {"odd-packets", in.sendOddPackets},
+		{"odd-era", in.setOddEra}, {"odd-packets", in.sendOddPackets}, {"odd-entries-left", in.leaveOddEntries},
 	}
 }
 
@@ -70,7 +70,7 @@
 func (in *injector) pick(list []any) any { return list[in.random.IntN(len(list))] }
 
 // oddEntry returns the value of an entry that another writer could leave: a valid one with one to three odd fields, or no entry at all.
-func (in *injector) oddEntry() []byte {
+func (in *injector) oddEntry(services ...string) []byte {
 	if in.random.IntN(4) == 0 {
 		valid := encodedEntry()
 		bodies := [][]byte{
@@ -81,7 +81,7 @@
 		return bodies[in.random.IntN(len(bodies))]
 	}
 	entry := validEntry()
-	entry["service"] = []string{"ovenwatch", "recipecard", "absent"}[in.random.IntN(3)]
+	entry["service"] = services[in.random.IntN(len(services))]
 	for range 1 + in.random.IntN(3) {
 		switch in.random.IntN(8) {
 		case 0:
@@ -122,13 +122,17 @@
 	return bytes.ReplaceAll(b, placeholder, nested())
 }
 
-// oddEntryKey returns a key for an odd entry: mostly one of a backend server that does not exist.
-func (in *injector) oddEntryKey() string {
-	odd := []string{
+// oddKeys are keys that no backend server has.
+func oddKeys() []string {
+	return []string{
 		"servers/", "servers/i-", "servers/zz", "servers/i-0", "servers/i-ffffffffffffffff", "servers/i-10000000000000000", "servers/i--1", "servers/i-1/2",
-		"servers/" + strings.Repeat("a", 190), "servers/\x00", "servers/i-é", "servers",
+		"servers/" + strings.Repeat("a", 190), "servers/\x00", "servers/i-é", "servers/i-\xff", "servers",
 	}
-	if in.random.IntN(3) == 0 {
+}
+
+// oddEntryKey returns a key for an odd entry: mostly one that a backend server could have.
+func (in *injector) oddEntryKey() string {
+	if odd := oddKeys(); in.random.IntN(3) == 0 {
 		return odd[in.random.IntN(len(odd))]
 	}
 	return fmt.Sprintf("servers/i-%x", 0x7f000000+in.random.IntN(1<<20))
@@ -138,12 +142,23 @@
 func (in *injector) putOddEntries(count int) {
 	for range count {
 		key := in.oddEntryKey()
-		in.Store.Put(key, in.oddEntry())
+		in.Store.Put(key, in.oddEntry("ovenwatch", "recipecard", "absent"))
 		in.schedule(minInputFault, maxInputFault, func() { in.Store.Delete(key) })
 	}
 	in.changeRoutes()
 }
 
+// leaveOddEntries writes odd entries that stay, none of which is of a service with callers. The daemons must go on following the store.
+func (in *injector) leaveOddEntries() {
+	for _, key := range oddKeys() {
+		if in.random.IntN(4) == 0 {
+			in.Store.Put(key, in.oddEntry("absent"))
+		}
+	}
+	in.Store.Put(in.oddEntryKey(), in.oddEntry("absent"))
+	in.changeRoutes()
+}
+
 // addOddBackends adds backend servers that answer and state numbers of slots whose sum overflows, or odd incarnations.
 func (in *injector) addOddBackends() {
 	for range 1 + in.random.IntN(3) {
@@ -185,7 +200,7 @@
 		case 2:
 			c["routes"] = in.pick(oddNumbers())
 		case 3:
-			return in.oddEntry()
+			return in.oddEntry("absent")
 		}
 		return encode(c)
 	})
@@ -217,14 +232,14 @@
 func (in *injector) putOddEvacuations() {
 	for _, zone := range []string{"", "zone-99", strings.Repeat("z", 180), "\x00", "zone-0/x"} {
 		key := "op/evacuate/" + zone
-		in.Store.Put(key, in.oddEntry())
+		in.Store.Put(key, in.oddEntry("absent"))
 		in.schedule(minInputFault, maxInputFault, func() { in.Store.Delete(key) })
 	}
 }
 
 // setOddEra makes the store state an era that is no number of a usual size.
 func (in *injector) setOddEra() {
-	eras := []string{"18446744073709551616", "-1", "1e3", " 1", "x", strings.Repeat("9", 10_000)}
+	eras := []string{"18446744073709551616", "18446744073709551615", "4294967296", "-1", "1e3", " 1", "x", strings.Repeat("9", 10_000)}
 	in.Store.SetEraHeader(eras[in.random.IntN(len(eras))])
 	in.schedule(minInputFault, maxInputFault, func() { in.Store.SetEraHeader("") })
 }
