services/scheduler: retries use the preferred VMs of the current settings

Callers saw a balancer end (panic, exit status 2) at the first retry after a change of the settings that added backend servers, while services with different priorities on the same VMs were overloaded. All balancers get the change and retry, so all end. After a change that removed VMs, the retry went to a backend server that was no longer listed.

Cause: the list of preferred VMs is derived from the list of backend servers, but was renewed only by Place. Retry used the former list, whose capacity can be smaller than the number of VMs to prefer now.

Change: the list is dropped together with the list that it is derived from, and Retry renews the admission control as Place does.

--- a/services/scheduler/scheduler.go
+++ b/services/scheduler/scheduler.go
@@ -231,7 +231,7 @@
 // setZones divides the backend servers into those of the own availability zone, which get requests first, and those of other
 // zones. While the own zone is evacuated, those of all other zones take its place, so that requests go to them by load.
 func (s *service) setZones() {
-	s.localServers, s.remoteServers, s.nearestZoneDelay = nil, nil, math.MaxInt64/2
+	s.localServers, s.remoteServers, s.preferred, s.nearestZoneDelay = nil, nil, nil, math.MaxInt64/2
 	for _, b := range s.servers {
 		if b.inOwnZone {
 			s.localServers = append(s.localServers, b)
@@ -276,13 +276,10 @@
 // Place returns the backend server that gets the work, or ErrShed, ErrOverloaded, ErrNoBackendServer or ErrExpired. The caller must
 // report the send and its outcome with Observe.
 func (s *Scheduler) Place(now time.Time, w Work) (netip.AddrPort, error) {
-	sv := s.services[w.Service]
+	sv := s.currentService(w.Service)
 	if sv == nil {
 		return netip.AddrPort{}, ErrNoBackendServer
 	}
-	if s.admissionOutdated {
-		s.updateAdmission()
-	}
 	if !sv.admits(now, &w) {
 		return netip.AddrPort{}, ErrOverloaded
 	}
@@ -293,9 +290,17 @@
 	return address, err
 }
 
+// currentService returns a service with the admission control of the current backend servers and tunables, or nil.
+func (s *Scheduler) currentService(name string) *service {
+	if s.admissionOutdated {
+		s.updateAdmission()
+	}
+	return s.services[name]
+}
+
 // Retry is Place for work that was sent before. It takes from the retry budget, which each first attempt refills.
 func (s *Scheduler) Retry(now time.Time, w Work) (netip.AddrPort, error) {
-	sv := s.services[w.Service]
+	sv := s.currentService(w.Service)
 	if sv == nil {
 		return netip.AddrPort{}, ErrNoBackendServer
 	}
