routers/operator: a query that panics does not end the daemon

Operators would see a daemon end (exit status 2) if a status or audit query panics: the handler runs on a goroutine of the JSON-RPC library, which recovers nothing. No such query is known; the package modules/catcher contains panics of single pieces of work, counts them and logs each kind with its stack at most every 10 s.

--- /dev/null
+++ b/routers/operator/faults_test.go
@@ -0,0 +1,111 @@
+package operator_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebelldyke/bluebelldyke/routers/operator"
+)
+
+// run runs a server until the test ends, which fails if Run returns earlier.
+func run(t *testing.T, server *operator.Server) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error {
+		err := server.Run(ctx)
+		if ctx.Err() == nil {
+			t.Errorf("the server ended: %v", err)
+		}
+		return nil
+	})
+	t.Cleanup(func() {
+		cancel()
+		_ = group.Wait()
+	})
+}
+
+// expectStatus fails unless the server answers a query.
+func expectStatus(t *testing.T, address netip.AddrPort) {
+	t.Helper()
+	g := NewWithT(t)
+	g.Eventually(func() error {
+		client, err := operator.Dial(t.Context(), address)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = client.Close() }()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = client.Status(ctx)
+		return err
+	}).WithTimeout(5 * time.Second).Should(Succeed())
+}
+
+// panickingSource is a StatusSource that fails on its first calls.
+type panickingSource struct {
+	fakeSource
+	calls *atomic.Int32
+}
+
+func (p panickingSource) Status() operator.Status {
+	if p.calls.Add(1) <= 2 {
+		panic("status")
+	}
+	return p.status
+}
+
+// TestPanic guards against a daemon that ends because a query fails.
+func TestPanic(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeSource()
+	server, err := operator.New(operator.Config{Bind: loopback, Status: panickingSource{f, &atomic.Int32{}}, Audit: f})
+	g.Expect(err).NotTo(HaveOccurred())
+	run(t, server)
+	client, err := operator.Dial(t.Context(), server.Address())
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = client.Status(t.Context())
+	g.Expect(operator.IsErrInvalidReply(err)).To(BeTrue(), "%v", err)
+	expectStatus(t, server.Address())
+}
+
+// FuzzQuery guards against a query that panics or never ends the connection. An input takes about 0.1 ms, most of it for the connection.
+func FuzzQuery(f *testing.F) {
+	for _, seed := range []string{
+		`{"jsonrpc":"2.0","id":1,"method":"status"}`, `{"id":"a","method":"audit","params":{"newest":3}}`, `{"id":1,"method":"audit","params":[]}`,
+		`{"id":1,"method":"x"}`, `{"id":1,"result":null}`, `[{"id":1,"method":"status"},{"id":1,"error":{}}]`, "null",
+	} {
+		f.Add([]byte(seed))
+	}
+	source := newFakeSource()
+	server, err := operator.New(operator.Config{Bind: loopback, Status: source, Audit: source})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, message []byte) {
+		client, stream := net.Pipe()
+		var group errgroup.Group
+		group.Go(func() error {
+			defer func() { _ = client.Close() }()
+			_ = client.SetDeadline(time.Now().Add(10 * time.Second))
+			_, err := client.Write(message)
+			return err
+		})
+		group.Go(func() error {
+			buffer := make([]byte, 4096)
+			for {
+				if _, err := client.Read(buffer); err != nil {
+					return nil
+				}
+			}
+		})
+		server.Serve(t.Context(), stream)
+		_ = group.Wait()
+	})
+}
--- a/routers/operator/server.go
+++ b/routers/operator/server.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bluebelldyke/bluebelldyke/modules/catcher"
 	"github.com/bluebelldyke/bluebelldyke/services/auditor"
 )
 
@@ -24,26 +25,35 @@
 
 // Config configures a Server.
 type Config struct {
-	Bind   netip.AddrPort
-	Status StatusSource
-	Audit  AuditSource
+	// Bind is the TCP address to listen on. It is not used if Listener is set.
+	Bind     netip.AddrPort
+	Listener net.Listener
+	Status   StatusSource
+	Audit    AuditSource
+	Catcher  *catcher.Catcher // optional
 }
 
 // Server answers queries at the operator address.
 type Server struct {
 	status   StatusSource
 	audit    AuditSource
+	catcher  *catcher.Catcher
 	listener net.Listener
 }
 
 // New returns a Server that listens on the operator address already, so that a daemon reports an address in use before it starts
 // anything else.
 func New(c Config) (*Server, error) {
+	s := &Server{status: c.Status, audit: c.Audit, catcher: c.Catcher, listener: c.Listener}
+	if s.listener != nil {
+		return s, nil
+	}
 	listener, err := net.Listen("tcp", c.Bind.String())
 	if err != nil {
 		return nil, eris.Wrap(err, "listen on the operator address")
 	}
-	return &Server{status: c.Status, audit: c.Audit, listener: netutil.LimitListener(listener, maxConnections)}, nil
+	s.listener = listener
+	return s, nil
 }
 
 // Address returns the bound address.
@@ -53,14 +63,15 @@
 
 // Run answers queries until ctx ends, and then closes all connections.
 func (s *Server) Run(ctx context.Context) error {
+	listener := netutil.LimitListener(s.listener, maxConnections)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		<-ctx.Done()
-		return s.listener.Close()
+		return listener.Close()
 	})
 	group.Go(func() error {
 		for {
-			stream, err := s.listener.Accept()
+			stream, err := listener.Accept()
 			if ctx.Err() != nil {
 				return nil
 			}
@@ -68,7 +79,7 @@
 				return eris.Wrap(err, "accept a connection at the operator address")
 			}
 			group.Go(func() error {
-				s.serve(ctx, stream)
+				s.Serve(ctx, stream)
 				return nil
 			})
 		}
@@ -76,8 +87,8 @@
 	return group.Wait()
 }
 
-// serve answers the queries of one connection. An invalid message closes only that connection.
-func (s *Server) serve(ctx context.Context, stream net.Conn) {
+// Serve answers the queries of one connection until it is closed. An invalid message closes only that connection.
+func (s *Server) Serve(ctx context.Context, stream net.Conn) {
 	if stream.SetDeadline(time.Now().Add(connectionTimeout)) != nil {
 		_ = stream.Close() // the client has closed the connection
 		return
@@ -90,7 +101,15 @@
 	}
 }
 
-func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (result any, err error) {
+	err = s.catcher.RunErr("operator query", func() error {
+		result, err = s.answer(r)
+		return err
+	})
+	return result, err
+}
+
+func (s *Server) answer(r *jsonrpc2.Request) (any, error) {
 	switch r.Method {
 	case methodStatus:
 		return statusToWire(s.status.Status()), nil
