routers/operator: failed accepts do not end the daemon

Operators saw a daemon end with 1 when its process had no free descriptors at the moment of a status query: Run returned the error of Accept, and each task that returns an error ends the daemon.

Change: Run tries again after 50 ms; the listener stays usable.

Measured: TestNoDescriptors, an Accept that returns EMFILE three times, failed before ('the server ended: accept: too many open files'), passes now.

--- a/routers/operator/faults_test.go
+++ b/routers/operator/faults_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,6 +49,33 @@
 	}).WithTimeout(5 * time.Second).Should(Succeed())
 }
 
+// shortListener is a listener whose first calls of Accept fail because the process has no descriptors left.
+type shortListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *shortListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// TestNoDescriptors guards against a daemon that ends because no connection of an operator can be accepted.
+func TestNoDescriptors(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", loopback.String())
+	g.Expect(err).NotTo(HaveOccurred())
+	short := &shortListener{Listener: listener}
+	short.failures.Store(3)
+	f := newFakeSource()
+	server, err := operator.New(operator.Config{Listener: short, Status: f, Audit: f})
+	g.Expect(err).NotTo(HaveOccurred())
+	run(t, server)
+	expectStatus(t, server.Address())
+}
+
 // panickingSource is a StatusSource that fails on its first calls.
 type panickingSource struct {
 	fakeSource
--- a/routers/operator/server.go
+++ b/routers/operator/server.go
@@ -75,8 +75,9 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			if err != nil {
-				return eris.Wrap(err, "accept a connection at the operator address")
+			if err != nil { // such as no free descriptors; the listener is still usable
+				time.Sleep(acceptRetryDelay)
+				continue
 			}
 			group.Go(func() error {
 				s.Serve(ctx, stream)
--- a/routers/operator/status.go
+++ b/routers/operator/status.go
@@ -104,4 +104,6 @@
 	// connectionTimeout is the maximum lifetime of a connection. It is long enough for any query, and closes connections that clients
 	// leave open.
 	connectionTimeout = time.Minute
+	// acceptRetryDelay keeps the accept loop from spinning while the process has no free descriptors.
+	acceptRetryDelay = 50 * time.Millisecond
 )
