routers/operator: a held operator address does not end the daemon

Operators saw a daemon end with 1 at its start while its predecessor, which drains, holds the operator address; one that is started again at once ends again and again until the predecessor is gone.

Change: New no longer fails for an address that may become free; Run waits for it (modules/binder) while the daemon serves.

Measured: TestHeldAddress failed before with the error of New and passes now.

--- a/routers/operator/faults_test.go
+++ b/routers/operator/faults_test.go
@@ -76,6 +76,21 @@
 	expectStatus(t, server.Address())
 }
 
+// TestHeldAddress guards against a daemon that ends because another process, such as its predecessor, holds the operator address.
+func TestHeldAddress(t *testing.T) {
+	g := NewWithT(t)
+	holder, err := net.Listen("tcp", loopback.String())
+	g.Expect(err).NotTo(HaveOccurred())
+	address := holder.Addr().(*net.TCPAddr).AddrPort()
+	f := newFakeSource()
+	server, err := operator.New(operator.Config{Bind: address, Status: f, Audit: f})
+	g.Expect(err).NotTo(HaveOccurred())
+	run(t, server)
+	time.Sleep(100 * time.Millisecond)
+	g.Expect(holder.Close()).To(Succeed())
+	expectStatus(t, address)
+}
+
 // panickingSource is a StatusSource that fails on its first calls.
 type panickingSource struct {
 	fakeSource
--- a/routers/operator/server.go
+++ b/routers/operator/server.go
@@ -6,13 +6,16 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bluebelldyke/bluebelldyke/modules/binder"
 	"github.com/bluebelldyke/bluebelldyke/modules/catcher"
 	"github.com/bluebelldyke/bluebelldyke/services/auditor"
 )
@@ -30,6 +33,7 @@
 	Listener net.Listener
 	Status   StatusSource
 	Audit    AuditSource
+	Logger   *zap.Logger      // optional
 	Catcher  *catcher.Catcher // optional
 }
 
@@ -37,33 +41,54 @@
 type Server struct {
 	status   StatusSource
 	audit    AuditSource
+	logger   *zap.Logger
 	catcher  *catcher.Catcher
-	listener net.Listener
+	bind     netip.AddrPort
+	listener net.Listener // nil while another process holds the address
 }
 
-// New returns a Server that listens on the operator address already, so that a daemon reports an address in use before it starts
-// anything else.
+// New returns a Server. It listens on the operator address already unless another process holds that or descriptors are short; then Run
+// waits until it can.
 func New(c Config) (*Server, error) {
-	s := &Server{status: c.Status, audit: c.Audit, catcher: c.Catcher, listener: c.Listener}
+	s := &Server{status: c.Status, audit: c.Audit, logger: c.Logger, catcher: c.Catcher, bind: c.Bind, listener: c.Listener}
+	if s.logger == nil {
+		s.logger = zap.NewNop()
+	}
 	if s.listener != nil {
 		return s, nil
 	}
 	listener, err := net.Listen("tcp", c.Bind.String())
-	if err != nil {
+	if eris.Is(err, syscall.EACCES) {
 		return nil, eris.Wrap(err, "listen on the operator address")
 	}
-	s.listener = listener
+	if err == nil {
+		s.listener = listener
+	}
 	return s, nil
 }
 
-// Address returns the bound address.
+// Address returns the bound address, or the one to be bound while another process holds it.
 func (s *Server) Address() netip.AddrPort {
+	if s.listener == nil {
+		return s.bind
+	}
 	return s.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // Run answers queries until ctx ends, and then closes all connections.
 func (s *Server) Run(ctx context.Context) error {
-	listener := netutil.LimitListener(s.listener, maxConnections)
+	listener := s.listener
+	if listener == nil {
+		var err error
+		listener, err = binder.ListenTCP(ctx, binder.Config{Bind: s.bind, Network: "tcp", Key: "operator.bind", Logger: s.logger})
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	listener = netutil.LimitListener(listener, maxConnections)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		<-ctx.Done()
