routers/operator: bound what is read on a connection

One connection to the operator address could send a single JSON message of any length for a minute, which the daemon kept in memory: enough to be killed for its memory (SIGKILL).

Change: at most 64 KB are read on one connection.

--- a/routers/operator/faults_test.go
+++ b/routers/operator/faults_test.go
@@ -1,6 +1,7 @@
 package operator_test
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
@@ -118,6 +119,40 @@
 	expectStatus(t, server.Address())
 }
 
+// TestOddConnections guards against connections that end the daemon, occupy memory without a limit or keep others out: endless messages,
+// invalid ones, and connections that are closed in the middle of a message.
+func TestOddConnections(t *testing.T) {
+	g := NewWithT(t)
+	f := newFakeSource()
+	server, err := operator.New(operator.Config{Bind: loopback, Status: f, Audit: f})
+	g.Expect(err).NotTo(HaveOccurred())
+	run(t, server)
+	for _, message := range []string{
+		"", "{", "null", "null null", "[]", "[[[", "1e999", `{"jsonrpc":"2.0","method":"status"}`, `{"method":"audit","id":1,"params":null}`,
+		`{"method":"audit","id":1,"params":{"newest":1e300}}`, `{"id":1,"result":{}}`, `{"id":18446744073709551616,"method":"status"}`, "\x00\xff",
+	} {
+		conn, err := net.Dial("tcp", server.Address().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		_, _ = conn.Write([]byte(message))
+		g.Expect(conn.Close()).To(Succeed())
+	}
+	expectStatus(t, server.Address())
+
+	conn, err := net.Dial("tcp", server.Address().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	g.Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	text := bytes.Repeat([]byte("a"), 64<<10)
+	sent, err := conn.Write([]byte(`{"method":"`))
+	for err == nil && sent < 64<<20 {
+		var n int
+		n, err = conn.Write(text)
+		sent += n
+	}
+	g.Expect(err).To(HaveOccurred(), "the server read %d bytes of one message", sent)
+	expectStatus(t, server.Address())
+}
+
 // FuzzQuery guards against a query that panics or never ends the connection. An input takes about 0.1 ms, most of it for the connection.
 func FuzzQuery(f *testing.F) {
 	for _, seed := range []string{
--- a/routers/operator/server.go
+++ b/routers/operator/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"syscall"
@@ -119,7 +120,7 @@
 		_ = stream.Close() // the client has closed the connection
 		return
 	}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(stream), jsonrpc2.HandlerWithError(s.handle), jsonrpc2.SetLogger(discardLogger))
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(&limitedConn{stream, maxQueryBytes}), jsonrpc2.HandlerWithError(s.handle), jsonrpc2.SetLogger(discardLogger))
 	select {
 	case <-conn.DisconnectNotify():
 	case <-ctx.Done():
@@ -127,6 +128,21 @@
 	}
 }
 
+// limitedConn limits the bytes that are read from a connection.
+type limitedConn struct {
+	net.Conn
+	remaining int
+}
+
+func (c *limitedConn) Read(b []byte) (int, error) {
+	if c.remaining <= 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.remaining)])
+	c.remaining -= n
+	return n, err
+}
+
 func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (result any, err error) {
 	err = s.catcher.RunErr("operator query", func() error {
 		result, err = s.answer(r)
--- a/routers/operator/status.go
+++ b/routers/operator/status.go
@@ -104,6 +104,8 @@
 	// connectionTimeout is the maximum lifetime of a connection. It is long enough for any query, and closes connections that clients
 	// leave open.
 	connectionTimeout = time.Minute
+	// maxQueryBytes limits what is read on one connection: hundreds of queries.
+	maxQueryBytes = 64 << 10
 	// acceptRetryDelay keeps the accept loop from spinning while the process has no free descriptors.
 	acceptRetryDelay = 50 * time.Millisecond
 )
