routers/daemon: try held service addresses again

Callers of a service got no answer from a balancer that started while its predecessor still held the address of the service, although it reported the state serving: the socket was opened only at a change of the settings, and a failure was logged once and forgotten.

Change: addresses of the current view that could not be opened are tried again every 100 ms. The state stays starting until one of them is served, so that the fabric does not count on a balancer without sockets.

--- a/routers/daemon/decider.go
+++ b/routers/daemon/decider.go
@@ -153,6 +153,16 @@
 	}
 	d.forwarder.Tick(now, &d.output.actions)
 	d.sockets.closeDrained(now)
+	d.sockets.retryUnopened(now)
+	d.updateState()
+}
+
+// updateState changes the state from starting to serving as soon as the settings are applied and a service address is served. While a
+// predecessor holds all of them, it serves the callers.
+func (d *decider) updateState() {
+	if d.current != nil && d.sockets.isServing() && d.web.state.CompareAndSwap(uint32(stateStarting), uint32(stateServing)) {
+		d.logger.Info("serving", zap.Uint64("settings-revision", d.current.Tree.Revision))
+	}
 }
 
 func (d *decider) setView(v *view.View) {
@@ -165,9 +175,7 @@
 	d.candidates.SetCandidates(v.VMList)
 	d.sockets.update(now, v)
 	d.checker.SetBackendServers(v.Tree.BackendServers)
-	if d.web.state.CompareAndSwap(uint32(stateStarting), uint32(stateServing)) {
-		d.logger.Info("serving", zap.Uint64("settings-revision", v.Tree.Revision))
-	}
+	d.updateState()
 }
 
 // healthStateOf maps the states of health updates to those of the scheduler.
--- a/routers/daemon/sockets.go
+++ b/routers/daemon/sockets.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +21,9 @@
 // handles what they read, so that more receivers would mainly fill its ring faster.
 const entryReceiverCount = 2
 
+// openRetryInterval is the interval of the attempts to open the sockets of service addresses that are held by another process.
+const openRetryInterval = 100 * time.Millisecond
+
 // sockets holds one socket for each service address and one for all backend servers. The decision goroutine opens and closes them,
 // the writers look them up.
 type sockets struct {
@@ -34,13 +39,16 @@
 	byAddress  map[netip.AddrPort]*transceiver.Socket
 	closeTimes map[netip.AddrPort]time.Time     // when to close the sockets of removed service addresses
 	drainTimes map[netip.AddrPort]time.Duration // drain-time of the service addresses in the current view
+	// unopened holds the service addresses of the current view whose sockets cannot be opened, such as those that another process holds.
+	unopened map[netip.AddrPort]bool
+	retryAt  time.Time // when they are tried again
 }
 
 func newSockets(logger *zap.Logger, entry configurer.Entry, entryRing *ring.Ring[*transceiver.Batch]) *sockets {
 	return &sockets{
 		logger: logger, entry: entry, entryRing: entryRing,
 		byAddress: map[netip.AddrPort]*transceiver.Socket{}, closeTimes: map[netip.AddrPort]time.Time{},
-		drainTimes: map[netip.AddrPort]time.Duration{},
+		drainTimes: map[netip.AddrPort]time.Duration{}, unopened: map[netip.AddrPort]bool{},
 	}
 }
 
@@ -84,6 +92,7 @@
 			s.open(service.Address)
 		}
 	}
+	maps.DeleteFunc(s.unopened, func(address netip.AddrPort, _ bool) bool { return !current[address] })
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for address := range s.byAddress {
@@ -106,9 +115,13 @@
 		}
 	}
 	if err != nil {
-		s.logger.Error("service address not served", zap.Stringer("service-address", address), zap.Error(err))
+		if !s.unopened[address] {
+			s.logger.Error("service address not served: trying again", zap.Stringer("service-address", address), zap.Error(err))
+		}
+		s.unopened[address] = true
 		return
 	}
+	delete(s.unopened, address)
 	s.openedCount++
 	s.logger.Info("serving", zap.Stringer("service-address", address), zap.Stringer("bind", bind))
 	s.mu.Lock()
@@ -116,6 +129,20 @@
 	s.mu.Unlock()
 }
 
+// retryUnopened tries to open the sockets that could not be opened before, at most once in each openRetryInterval.
+func (s *sockets) retryUnopened(now time.Time) {
+	if len(s.unopened) == 0 || now.Before(s.retryAt) {
+		return
+	}
+	s.retryAt = now.Add(openRetryInterval)
+	for _, address := range slices.SortedFunc(maps.Keys(s.unopened), netip.AddrPort.Compare) {
+		s.open(address)
+	}
+}
+
+// isServing reports whether the socket of any service address is open.
+func (s *sockets) isServing() bool { return s.openedCount > 0 }
+
 // closeDrained closes the sockets of removed service addresses whose drain-time is over.
 func (s *sockets) closeDrained(now time.Time) {
 	for address, closeTime := range s.closeTimes {
