routers/daemon: pass results of status queries by value

A status or metrics query that the decision goroutine answers after its timeout of 1 s wrote its result into variables that the reader used at the same time: a data race, with which Go makes no promise. The list of evacuated places of the status was written without any check. A decision goroutine is that late on a VM with a small share of a core.

Change: queries return their result through a channel; a late one is dropped.

--- a/routers/daemon/decider.go
+++ b/routers/daemon/decider.go
@@ -50,7 +50,7 @@
 	GateForwards() <-chan peers.GateForward
 }
 
-// decider owns all mutable state of the data path. Its methods run on the decision goroutine, the one of Run, except runQuery.
+// decider owns all mutable state of the data path. Its methods run on the decision goroutine, the one of Run.
 type decider struct {
 	logger        *zap.Logger
 	forwarder     *forwarder.Forwarder
@@ -212,16 +212,18 @@
 	d.output = newOutput()
 }
 
-// runQuery runs query on the decision goroutine and waits until it has returned.
-func (d *decider) runQuery(ctx context.Context, query func(now time.Time)) error {
-	done := make(chan struct{})
-	if err := d.queries.Push(ctx, func(now time.Time) { query(now); close(done) }); err != nil {
-		return err
+// runQuery runs the query on the decision goroutine and returns its result. A query whose result is no longer awaited may still run, so its
+// result is passed by value.
+func runQuery[T any](ctx context.Context, d *decider, query func(now time.Time) T) (T, error) {
+	var none T
+	results := make(chan T, 1)
+	if err := d.queries.Push(ctx, func(now time.Time) { results <- query(now) }); err != nil {
+		return none, err
 	}
 	select {
-	case <-done:
-		return nil
+	case result := <-results:
+		return result, nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return none, ctx.Err()
 	}
 }
--- a/routers/daemon/evacuation.go
+++ b/routers/daemon/evacuation.go
@@ -59,8 +59,8 @@
 			metric.WithFloat64Callback(func(ctx context.Context, o metric.Float64Observer) error {
 				ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 				defer cancel()
-				var remaining map[string]remainingWork
-				if err := s.decider.runQuery(ctx, func(now time.Time) { remaining = s.decider.remainingWork(now) }); err != nil {
+				remaining, err := runQuery(ctx, s.decider, s.decider.remainingWork)
+				if err != nil {
 					return nil // as for the other gauges, a busy daemon exports no value
 				}
 				for place, r := range remaining {
--- a/routers/daemon/status.go
+++ b/routers/daemon/status.go
@@ -62,13 +62,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
-	var servers []operator.BackendServer
-	imbalance := 1.0
-	if err := s.decider.runQuery(ctx, func(now time.Time) {
-		servers, imbalance = s.decider.backendServers(now), s.decider.imbalance(now)
-		out.EvacuatedPlaces = s.decider.evacuatedPlaces()
+	type load struct {
+		servers         []operator.BackendServer
+		imbalance       float64
+		evacuatedPlaces []string
+	}
+	if l, err := runQuery(ctx, s.decider, func(now time.Time) load {
+		return load{s.decider.backendServers(now), s.decider.imbalance(now), s.decider.evacuatedPlaces()}
 	}); err == nil {
-		out.BackendServers, out.Imbalance = servers, imbalance
+		out.BackendServers, out.Imbalance, out.EvacuatedPlaces = l.servers, l.imbalance, l.evacuatedPlaces
 	}
 	out.EndedFlows = out.Counters["ended"]
 	return out
@@ -156,8 +158,10 @@
 func (s *status) imbalance() float64 {
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
-	largest := 1.0
-	_ = s.decider.runQuery(ctx, func(now time.Time) { largest = s.decider.imbalance(now) })
+	largest, err := runQuery(ctx, s.decider, s.decider.imbalance)
+	if err != nil {
+		return 1
+	}
 	return largest
 }
 
--- a/routers/daemon/tasks.go
+++ b/routers/daemon/tasks.go
@@ -87,7 +87,10 @@
 	t.web.state.Store(uint32(stateStopping))
 	t.peers.Leave()
 	started := time.Now()
-	_ = t.decider.runQuery(ctx, t.decider.forwarder.Stop)
+	_, _ = runQuery(ctx, t.decider, func(now time.Time) bool {
+		t.decider.forwarder.Stop(now)
+		return true
+	})
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for time.Since(started) < grace {
@@ -96,8 +99,7 @@
 			return
 		case <-ticker.C:
 		}
-		drained := false
-		_ = t.decider.runQuery(ctx, func(now time.Time) { drained = t.decider.forwarder.IsDrained(now) })
+		drained, _ := runQuery(ctx, t.decider, t.decider.forwarder.IsDrained)
 		if drained && time.Since(started) >= minStopTime {
 			t.logger.Info("stopped", zap.Duration("took", time.Since(started)))
 			return
