routers/daemon: contain panics of the decision goroutine

A panic at one datagram, health report, query or change of the settings ended the balancer, and all balancers alike that got the same input; the retry after added VMs was such a case.

Change: each is a piece of work of modules/catcher; the next one is handled, and the earlier settings stay in force. A tick handles what is due in order, so after a second in which all ticks failed the process ends with that cause, and a new one begins with a new state.

--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 
+	"github.com/bluebelldyke/bluebelldyke/modules/catcher"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/counter"
 	"github.com/bluebelldyke/bluebelldyke/modules/exposer"
@@ -56,7 +57,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s),
 		fx.Provide(
-			newProcess, newLogger, newMetrics, newWebServer, newPeers, newRelayer, newScheduler, newGatekeeper, newCounters,
+			newProcess, newLogger, newMetrics, newCatcher, newWebServer, newPeers, newRelayer, newScheduler, newGatekeeper, newCounters,
 			newForwarder, newRings, newEntrySockets, newWriters, newChecker, newDecider, newAuditor, newStatus, newOperator,
 			newTasks,
 		),
@@ -113,6 +114,10 @@
 	return provider.Meter("bluebelldyke"), handler, nil
 }
 
+func newCatcher(logger *zap.Logger, meter metric.Meter) (*catcher.Catcher, error) {
+	return catcher.New(catcher.Config{Logger: logger, Meter: meter})
+}
+
 func newPeers(s configurer.Settings, p process, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
 	return peers.New(peers.Config{
 		Bind: s.Peer.Bind, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: p.incarnation,
@@ -213,16 +218,16 @@
 
 func newDecider(
 	logger *zap.Logger, f *forwarder.Forwarder, s *scheduler.Scheduler, sockets *sockets, w *writers, c *checker.Checker,
-	r *relayer.Relayer, members *peers.Peers, rings rings, web *webServer,
+	r *relayer.Relayer, members *peers.Peers, rings rings, web *webServer, catcher *catcher.Catcher,
 ) *decider {
 	return &decider{
 		logger: logger, forwarder: f, scheduler: s, sockets: sockets, writers: w, checker: c, views: r.Views(),
-		refresher: r, gateForwarder: members, candidates: members, rings: rings, web: web,
+		refresher: r, gateForwarder: members, candidates: members, rings: rings, web: web, catcher: catcher,
 	}
 }
 
-func newOperator(s configurer.Settings, status *status) (*operator.Server, error) {
-	return operator.New(operator.Config{Bind: s.Operator.Bind, Status: status, Audit: status})
+func newOperator(s configurer.Settings, status *status, logger *zap.Logger, catcher *catcher.Catcher) (*operator.Server, error) {
+	return operator.New(operator.Config{Bind: s.Operator.Bind, Status: status, Audit: status, Logger: logger, Catcher: catcher})
 }
 
 // localAddress returns the address to which the socket to backend servers is bound.
--- a/routers/daemon/decider.go
+++ b/routers/daemon/decider.go
@@ -5,11 +5,13 @@
 	"net/netip"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/bluebelldyke/bluebelldyke/models/fleet"
 	"github.com/bluebelldyke/bluebelldyke/models/settings"
 	"github.com/bluebelldyke/bluebelldyke/models/view"
+	"github.com/bluebelldyke/bluebelldyke/modules/catcher"
 	"github.com/bluebelldyke/bluebelldyke/modules/packer"
 	"github.com/bluebelldyke/bluebelldyke/routers/checker"
 	"github.com/bluebelldyke/bluebelldyke/routers/peers"
@@ -29,6 +31,8 @@
 	placementPauseTimeout = 500 * time.Millisecond
 	// flushThreshold is the number of collected actions from which the output is passed to the writers although datagrams wait.
 	flushThreshold = 64
+	// maxFailedTicks is the number of failed ticks in a row, those of a second, after which the process ends.
+	maxFailedTicks = 100
 )
 
 // refresher fetches newer settings and reports how fresh the view is.
@@ -63,12 +67,14 @@
 	gateForwarder gateForwarder
 	web           *webServer
 	candidates    candidateSetter
+	catcher       *catcher.Catcher
 	rings
 
 	output      *output
 	current     *view.View
 	lastTick    time.Time
 	pausedSince time.Time // when the last pause was detected; zero after the view was confirmed
+	failedTicks int       // in a row
 }
 
 // Run handles events until ctx ends.
@@ -86,23 +92,42 @@
 		case b := <-d.backend.Items():
 			d.handleBackendBatch(b)
 		case f := <-d.gateForwarder.GateForwards():
-			d.detectPause(time.Now())
-			d.forwarder.HandleForwardedDatagram(time.Now(), f.Caller, f.Service, f.Datagram, &d.output.actions)
+			d.catcher.Run("forwarded datagram", func() {
+				d.detectPause(time.Now())
+				d.forwarder.HandleForwardedDatagram(time.Now(), f.Caller, f.Service, f.Datagram, &d.output.actions)
+			})
 		case v := <-d.views:
-			d.setView(v)
+			d.catcher.Run("settings", func() { d.setView(v) })
 		case u := <-d.healthUpdates.Items():
-			d.handleHealthUpdate(u)
+			d.catcher.Run("health update", func() { d.handleHealthUpdate(u) })
 		case query := <-d.queries.Items():
-			query(time.Now())
+			d.catcher.Run("query", func() { query(time.Now()) })
 		case <-ticker.C:
-			d.tick()
+			if err := d.runTick(); err != nil {
+				return err
+			}
 		}
 		if d.noDatagramsWaiting() || len(d.output.actions.List) >= flushThreshold {
-			d.flush()
+			if !d.catcher.Run("output", d.flush) {
+				d.output = newOutput()
+			}
 		}
 	}
 }
 
+// runTick runs tick. A tick handles what is due in order, so one that always fails would leave all that is due later undone; a new
+// process has a new state.
+func (d *decider) runTick() error {
+	if d.catcher.Run("tick", d.tick) {
+		d.failedTicks = 0
+		return nil
+	}
+	if d.failedTicks++; d.failedTicks < maxFailedTicks {
+		return nil
+	}
+	return eris.Errorf("the last %d ticks failed: report the log line \"work failed\"", d.failedTicks)
+}
+
 // noDatagramsWaiting reports whether no datagram is queued. Collected output is then flushed, because no further datagram will soon
 // fill it up.
 func (d *decider) noDatagramsWaiting() bool { return d.entry.Len() == 0 && d.backend.Len() == 0 }
@@ -111,7 +136,9 @@
 	now := time.Now()
 	d.detectPause(now)
 	for _, datagram := range b.Datagrams {
-		d.forwarder.HandleCallerDatagram(now, datagram.From, b.ServiceAddress, datagram.Data, &d.output.actions)
+		d.catcher.Run("caller datagram", func() {
+			d.forwarder.HandleCallerDatagram(now, datagram.From, b.ServiceAddress, datagram.Data, &d.output.actions)
+		})
 	}
 	b.Release()
 }
@@ -120,7 +147,9 @@
 	now := time.Now()
 	d.detectPause(now) // a refusal by a backend server leads to a retry, which needs a placement
 	for _, datagram := range b.Datagrams {
-		d.forwarder.HandleBackendDatagram(now, datagram.From, datagram.Data, &d.output.actions)
+		d.catcher.Run("backend datagram", func() {
+			d.forwarder.HandleBackendDatagram(now, datagram.From, datagram.Data, &d.output.actions)
+		})
 	}
 	b.Release()
 }
--- a/services/forwarder/gate.go
+++ b/services/forwarder/gate.go
@@ -47,8 +47,8 @@
 // HandleForwardedDatagram handles a caller datagram that another balancer forwarded, because its token names this balancer.
 func (f *Forwarder) HandleForwardedDatagram(now time.Time, caller, service netip.AddrPort, datagram []byte, out *Actions) {
 	f.forwardedByPeer = true
+	defer func() { f.forwardedByPeer = false }()
 	f.HandleCallerDatagram(now, caller, service, datagram, out)
-	f.forwardedByPeer = false
 }
 
 // handleGateToken passes a datagram with a gate token to the gate of this process, or forwards it to the balancer that the
