models/fleet: skip odd entries of a VM list

Operators would see daemons that stop following the VM list: one entry of another writer with a port out of range, a number in place of a text, arrays nested 700,000 deep or a second entry of a VM made the whole list invalid, so that VMs marked as leaving later still got new work.

Cause: the list was validated as a whole like the settings. The platform owns the list, and it is only advisory.

Change: such an entry is skipped and reported in the audit trail (left-out, invalid-entry, at most 10 problems a revision); unknown fields may be nested at will. A list that is no list, or without any valid entry, is refused as before, and the former list stays in force.

--- a/models/fleet/fleet.go
+++ b/models/fleet/fleet.go
@@ -43,6 +43,9 @@
 type List struct {
 	Revision uint64
 	VMs      []VM
+	// Skipped are the problems of the entries that are not in VMs, and SkippedCount is the number of these entries.
+	Skipped      []inspector.Problem
+	SkippedCount int
 }
 
 // wireList and wireVM are the JSON form. Unknown keys are ignored, because the platform owns the format and may add some.
@@ -60,47 +63,112 @@
 // documentName is the name of the VM list on the platform and in error messages.
 const documentName = "vms"
 
-// Parse parses the JSON content as the given revision of the VM list. The error is an inspector.ErrInvalid that lists all
-// problems found.
+// maxSkipped limits the entries whose problems a list holds.
+const maxSkipped = 10
+
+// Parse parses the JSON content as the given revision of the VM list. An entry with a problem is skipped, because the platform owns the
+// list and the other VMs must still be followed. The error is an inspector.ErrInvalid: the content is no VM list, or all of its entries
+// have problems.
 func Parse(revision uint64, content []byte) (*List, error) {
-	report := inspector.NewReport(documentName)
 	var wire wireList
 	if err := json.Unmarshal(content, &wire); err != nil {
-		report.Add("", err.Error(), "correct the JSON document on the platform")
-		return nil, report.Err()
+		return parseEntries(revision, content)
 	}
 	if wire.VMs == nil {
-		report.Add("vms", "missing", "write an array of VMs; an empty one is valid")
-		return nil, report.Err()
+		return nil, invalid("vms", "missing", "write an array of VMs; an empty one is valid")
 	}
-	l := &List{Revision: revision, VMs: make([]VM, 0, len(*wire.VMs))}
-	positions := make(map[netip.AddrPort]int, len(*wire.VMs))
+	p := newParser(revision, len(*wire.VMs))
 	for i, w := range *wire.VMs {
-		path := fmt.Sprintf("vms[%d]", i)
-		vm := parseVM(report, path, w)
-		if first, taken := positions[vm.Address]; taken && vm.Address.IsValid() {
-			report.Add(path+".address", fmt.Sprintf("%s is already the address of vms[%d]", vm.Address, first), "list each VM once")
-		} else {
-			positions[vm.Address] = i
+		p.add(i, w)
+	}
+	return p.result()
+}
+
+// parseEntries parses a list with an entry that cannot be decoded, such as one with a number in place of a text.
+func parseEntries(revision uint64, content []byte) (*List, error) {
+	var wire struct {
+		VMs *[]json.RawMessage `json:"vms"`
+	}
+	if err := json.Unmarshal(prune(content), &wire); err != nil {
+		return nil, invalid("", err.Error(), "correct the JSON document on the platform")
+	}
+	if wire.VMs == nil {
+		return nil, invalid("vms", "missing", "write an array of VMs; an empty one is valid")
+	}
+	p := newParser(revision, len(*wire.VMs))
+	for i, raw := range *wire.VMs {
+		var w wireVM
+		if err := json.Unmarshal(raw, &w); err != nil {
+			p.skip(inspector.Problem{Key: entryPath(i), Cause: err.Error(), Remedy: "write an object with texts"})
+			continue
 		}
-		l.VMs = append(l.VMs, vm)
+		p.add(i, w)
 	}
-	if err := report.Err(); err != nil {
-		return nil, err
+	return p.result()
+}
+
+func invalid(key, cause, remedy string) error {
+	report := inspector.NewReport(documentName)
+	report.Add(key, cause, remedy)
+	return report.Err()
+}
+
+func entryPath(index int) string { return fmt.Sprintf("vms[%d]", index) }
+
+// parser collects the entries of a list.
+type parser struct {
+	list      *List
+	positions map[netip.AddrPort]int // in the document
+}
+
+func newParser(revision uint64, count int) *parser {
+	return &parser{list: &List{Revision: revision, VMs: make([]VM, 0, count)}, positions: make(map[netip.AddrPort]int, count)}
+}
+
+// add adds the entry at the index of the document, unless it has a problem.
+func (p *parser) add(index int, w wireVM) {
+	vm, problems := parseVM(entryPath(index), w)
+	if first, taken := p.positions[vm.Address]; taken && len(problems) == 0 {
+		problems = append(problems, inspector.Problem{
+			Key: entryPath(index) + ".address", Cause: fmt.Sprintf("%s is already the address of vms[%d]", vm.Address, first), Remedy: "list each VM once",
+		})
+	}
+	if len(problems) > 0 {
+		p.skip(problems...)
+		return
 	}
-	return l, nil
+	p.positions[vm.Address] = index
+	p.list.VMs = append(p.list.VMs, vm)
 }
 
-func parseVM(report *inspector.Report, path string, w wireVM) VM {
-	vm := VM{AvailabilityZone: w.AvailabilityZone}
+// skip records the problems of one entry.
+func (p *parser) skip(problems ...inspector.Problem) {
+	if p.list.SkippedCount++; p.list.SkippedCount <= maxSkipped {
+		p.list.Skipped = append(p.list.Skipped, problems...)
+	}
+}
+
+func (p *parser) result() (*List, error) {
+	if len(p.list.VMs) == 0 && p.list.SkippedCount > 0 {
+		return nil, &inspector.ErrInvalid{File: documentName, Problems: p.list.Skipped}
+	}
+	return p.list, nil
+}
+
+// parseVM returns the VM of an entry and the problems of the entry.
+func parseVM(path string, w wireVM) (vm VM, problems []inspector.Problem) {
+	add := func(key, cause, remedy string) {
+		problems = append(problems, inspector.Problem{Key: path + "." + key, Cause: cause, Remedy: remedy})
+	}
+	vm.AvailabilityZone = w.AvailabilityZone
 	address, err := netip.ParseAddrPort(w.Address)
 	if err != nil || address.Addr().Zone() != "" || address.Addr().IsUnspecified() || address.Port() == 0 {
-		report.Add(path+".address", fmt.Sprintf("%q is not a concrete address", w.Address), "write an IP address and a port")
+		add("address", fmt.Sprintf("%q is not a concrete address", w.Address), "write an IP address and a port")
 	} else {
 		vm.Address = netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
 	}
 	if w.AvailabilityZone == "" {
-		report.Add(path+".availability-zone", "missing", "write the name of the availability zone")
+		add("availability-zone", "missing", "write the name of the availability zone")
 	}
 	switch w.Role {
 	case "balancer":
@@ -108,14 +176,14 @@
 	case "backend-server":
 		vm.Role = BackendServer
 	default:
-		report.Add(path+".role", fmt.Sprintf("unknown role %q", w.Role), "write balancer or backend-server")
+		add("role", fmt.Sprintf("unknown role %q", w.Role), "write balancer or backend-server")
 	}
 	switch w.State {
 	case "live":
 	case "leaving":
 		vm.Leaving = true
 	default:
-		report.Add(path+".state", fmt.Sprintf("unknown state %q", w.State), "write live or leaving")
+		add("state", fmt.Sprintf("unknown state %q", w.State), "write live or leaving")
 	}
-	return vm
+	return vm, problems
 }
--- a/routers/relayer/combine.go
+++ b/routers/relayer/combine.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// maxSkippedEntries limits the audit entries about skipped entries of a VM list.
+	maxSkippedEntries = 10
 	// maxConflictEntries limits the audit entries about conflicts between documents per view.
 	maxConflictEntries = 10
 	// firstPullAttempts and firstPullRetryDelay limit how long a daemon that begins to follow a document queries only its peers.
@@ -98,7 +100,7 @@
 		r.combiner.SetPlaceVMList(parsed.place, parsed.list)
 	}
 	r.updateFollowed()
-	entries := []AuditEntry{decision}
+	entries := append([]AuditEntry{decision}, skippedEntries(decision, parsed)...)
 	missing := r.combiner.MissingDocuments()
 	switch {
 	case decision.Document == SettingsDocument && len(missing) > 0:
@@ -117,6 +119,30 @@
 	return append(entries, r.publishView()...)
 }
 
+// skippedEntries returns audit entries for the problems of the skipped entries of a VM list.
+func skippedEntries(decision reviser.Decision, parsed any) []AuditEntry {
+	var list *fleet.List
+	switch parsed := parsed.(type) {
+	case *fleet.List:
+		list = parsed
+	case placeVMs:
+		list = parsed.list
+	default:
+		return nil
+	}
+	var entries []AuditEntry
+	for i, problem := range list.Skipped {
+		e := decision
+		e.Outcome, e.Cause, e.Detail = reviser.LeftOut, reviser.CauseInvalidEntry, problem.String()
+		if i == maxSkippedEntries-1 && len(list.Skipped) > maxSkippedEntries {
+			e.Detail = fmt.Sprintf("%d entries are skipped: correct the list on the platform", list.SkippedCount)
+			return append(entries, e)
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
+
 // rootRevisionInForce returns the revision of the root settings document in force, or 0.
 func (r *Relayer) rootRevisionInForce() uint64 {
 	if documents := r.combiner.DocumentsInForce(); len(documents) > 0 {
--- a/routers/relayer/relayer_test.go
+++ b/routers/relayer/relayer_test.go
@@ -155,6 +155,13 @@
 	return causes
 }
 
+// clear forgets all entries.
+func (a *audit) clear() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.entries = nil
+}
+
 type daemon struct {
 	*relayer.Relayer
 	audit  *audit
--- a/services/reviser/reviser.go
+++ b/services/reviser/reviser.go
@@ -24,7 +24,7 @@
 	Rejected Outcome = "rejected"
 	// Waiting means that a root document is held but not in force, because a document that it refers to is missing.
 	Waiting Outcome = "waiting"
-	// LeftOut means that a part of a valid document is not in force, because it conflicts with another document.
+	// LeftOut means that a part of a valid document is not in force, because it conflicts with another document or is an invalid entry.
 	LeftOut Outcome = "left-out"
 )
 
@@ -42,6 +42,7 @@
 	CauseNoRevision       Cause = "no-revision"
 	CauseMissingDocuments Cause = "missing-documents"
 	CauseDocumentConflict Cause = "conflict-between-documents"
+	CauseInvalidEntry     Cause = "invalid-entry"
 	CauseNotFollowed      Cause = "not-followed"
 	// CauseEvacuationChanged means that a revision in force begins or ends the evacuation of places.
 	CauseEvacuationChanged Cause = "evacuation-changed"
