models/fleet: a VM with two entries is leaving if one of them says so

Since odd entries are skipped, a second entry that marks its VM as leaving had no effect, and the VM would get new work.

Measured: the new case of TestOddEntry failed before and passes now.

--- a/models/fleet/fleet.go
+++ b/models/fleet/fleet.go
@@ -118,26 +118,31 @@
 // parser collects the entries of a list.
 type parser struct {
 	list      *List
-	positions map[netip.AddrPort]int // in the document
+	positions map[netip.AddrPort]position
 }
 
+// position is the index of an entry in the document and in the list.
+type position struct{ document, list int }
+
 func newParser(revision uint64, count int) *parser {
-	return &parser{list: &List{Revision: revision, VMs: make([]VM, 0, count)}, positions: make(map[netip.AddrPort]int, count)}
+	return &parser{list: &List{Revision: revision, VMs: make([]VM, 0, count)}, positions: make(map[netip.AddrPort]position, count)}
 }
 
-// add adds the entry at the index of the document, unless it has a problem.
+// add adds the entry at the index of the document, unless it has a problem. Of several entries of a VM the first one counts, but the VM is
+// leaving if any of them says so.
 func (p *parser) add(index int, w wireVM) {
 	vm, problems := parseVM(entryPath(index), w)
 	if first, taken := p.positions[vm.Address]; taken && len(problems) == 0 {
+		p.list.VMs[first.list].Leaving = p.list.VMs[first.list].Leaving || vm.Leaving
 		problems = append(problems, inspector.Problem{
-			Key: entryPath(index) + ".address", Cause: fmt.Sprintf("%s is already the address of vms[%d]", vm.Address, first), Remedy: "list each VM once",
+			Key: entryPath(index) + ".address", Cause: fmt.Sprintf("%s is already the address of vms[%d]", vm.Address, first.document), Remedy: "list each VM once",
 		})
 	}
 	if len(problems) > 0 {
 		p.skip(problems...)
 		return
 	}
-	p.positions[vm.Address] = index
+	p.positions[vm.Address] = position{index, len(p.list.VMs)}
 	p.list.VMs = append(p.list.VMs, vm)
 }
 
--- a/models/fleet/fleet_test.go
+++ b/models/fleet/fleet_test.go
@@ -88,7 +88,12 @@
 		})
 	}
 	g := NewWithT(t)
-	l, err := fleet.Parse(1, []byte(`{"vms":[`+field("unknown", deep("[", "]"))+`]}`))
+	l, err := fleet.Parse(1, []byte(`{"vms":[1,`+valid+`,`+strings.Replace(valid, "live", "leaving", 1)+`]}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.VMs).To(HaveLen(1))
+	g.Expect(l.VMs[0].Leaving).To(BeTrue(), "one of two entries says so")
+	g.Expect(l.Skipped[1].Cause).To(ContainSubstring("already the address of vms[1]"))
+	l, err = fleet.Parse(1, []byte(`{"vms":[`+field("unknown", deep("[", "]"))+`]}`))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(l.VMs).To(HaveLen(1), "unknown fields are ignored")
 	for _, content := range []string{"", "[]", "{", `{"vms":[` + valid + `}`, `{"vms":[` + valid + `]`, `{"vms":[[` + deep("[", "]") + `}]}`, `{"vms":1}`, deep("[", "]"), `{"vms":[1,2]}`} {
