routers/daemon: a starting balancer waits for held addresses

Operators saw a balancer end with 1 at its start while its predecessor, which drains for up to stop.grace (30 s by default), holds the peer, operator or metrics address; one that a supervisor starts again at once ended again and again meanwhile. The same held for an entry address that is not on the VM yet, and for a process without free descriptors.

A stop signal ends the wait with 0.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -1,6 +1,6 @@
 // Package cmd implements the command line of bluebelldyke, with one file for each subcommand.
 //
-// Exit codes: 0 success, 1 failure (such as a port in use or a daemon that does not answer), 2 usage or invalid input
+// Exit codes: 0 success, 1 failure (such as an address that is not permitted or a daemon that does not answer), 2 usage or invalid input
 // (such as an unknown flag, a missing file or invalid settings). The subcommand call adds 3 and 4 for requests that were
 // not answered.
 package cmd
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bluebelldyke/bluebelldyke/modules/binder"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/signaler"
 	"github.com/bluebelldyke/bluebelldyke/modules/stopper"
@@ -53,6 +54,8 @@
 // addBindRemedy adds the remedy to an error from binding an address.
 func addBindRemedy(config string, err error) error {
 	switch {
+	case binder.IsErrUnavailable(err): // it names the remedy
+		return err
 	case eris.Is(err, syscall.EADDRINUSE):
 		return eris.Wrapf(err, "address in use: end the process that uses it or change the address in %s", config)
 	case eris.Is(err, syscall.EADDRNOTAVAIL):
--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -19,6 +20,7 @@
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 
+	"github.com/bluebelldyke/bluebelldyke/modules/binder"
 	"github.com/bluebelldyke/bluebelldyke/modules/catcher"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/counter"
@@ -50,14 +52,44 @@
 	newRandom   func() *mathrand.Rand // returns a generator with a seed of its own
 }
 
+// peerSockets are the sockets at the peer address.
+type peerSockets struct {
+	udp *net.UDPConn
+	tcp net.Listener
+}
+
+// bindPeers binds the peer address. While the predecessor of this process holds it, bindPeers waits.
+func bindPeers(ctx context.Context, s configurer.Settings, logger *zap.Logger) (peerSockets, error) {
+	udp, err := binder.ListenUDP(ctx, binder.Config{Bind: s.Peer.Bind, Network: "udp", Key: "peer.bind", Logger: logger})
+	if err != nil {
+		return peerSockets{}, err
+	}
+	tcp, err := binder.ListenTCP(ctx, binder.Config{Bind: s.Peer.Bind, Network: "tcp", Key: "peer.bind", Logger: logger})
+	if err != nil {
+		return peerSockets{}, errors.Join(err, udp.Close())
+	}
+	return peerSockets{udp, tcp}, nil
+}
+
 // Run runs a balancer until ctx ends, and then shuts it down gracefully.
 func Run(ctx context.Context, s configurer.Settings) error {
+	logger, err := newLogger(s)
+	if err != nil {
+		return err
+	}
+	sockets, err := bindPeers(ctx, s, logger)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}
 	var t *tasks
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(s),
+		fx.Supply(s, logger, sockets),
 		fx.Provide(
-			newProcess, newLogger, newMetrics, newCatcher, newWebServer, newPeers, newRelayer, newScheduler, newGatekeeper, newCounters,
+			newProcess, newMetrics, newCatcher, newWebServer, newPeers, newRelayer, newScheduler, newGatekeeper, newCounters,
 			newForwarder, newRings, newEntrySockets, newWriters, newChecker, newDecider, newAuditor, newStatus, newOperator,
 			newTasks,
 		),
@@ -70,7 +102,7 @@
 	if err := app.Start(ctx); err != nil {
 		return dig.RootCause(err)
 	}
-	err := t.run(ctx)
+	err = t.run(ctx)
 	if stopErr := app.Stop(context.WithoutCancel(ctx)); err == nil {
 		err = stopErr
 	}
@@ -118,9 +150,9 @@
 	return catcher.New(catcher.Config{Logger: logger, Meter: meter})
 }
 
-func newPeers(s configurer.Settings, p process, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
+func newPeers(s configurer.Settings, p process, sockets peerSockets, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
 	return peers.New(peers.Config{
-		Bind: s.Peer.Bind, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: p.incarnation,
+		Conn: sockets.udp, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: p.incarnation,
 		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Logger: logger, Meter: meter, Random: p.newRandom(),
 	})
 }
@@ -136,10 +168,10 @@
 func newAuditor() *auditor.Auditor { return auditor.New(auditor.Config{}) }
 
 func newRelayer(
-	s configurer.Settings, p process, members *peers.Peers, audit *auditor.Auditor, logger *zap.Logger, meter metric.Meter,
+	s configurer.Settings, p process, sockets peerSockets, members *peers.Peers, audit *auditor.Auditor, logger *zap.Logger, meter metric.Meter,
 ) (*relayer.Relayer, error) {
 	r, err := relayer.New(relayer.Config{
-		PlatformURL: s.Platform.URL, AvailabilityZone: s.AvailabilityZone, Self: members.Address(), Bind: s.Peer.Bind, Seeds: s.Peer.Seeds, Members: members,
+		PlatformURL: s.Platform.URL, AvailabilityZone: s.AvailabilityZone, Self: members.Address(), Listener: sockets.tcp, Seeds: s.Peer.Seeds, Members: members,
 		Audit: auditSink{audit}, Logger: logger, Meter: meter, Random: p.newRandom(), Key: s.Peer.Key,
 		Dial: dialFrom(s.Peer.Bind.Addr()),
 	})
--- a/routers/daemon/metrics.go
+++ b/routers/daemon/metrics.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+	"go.uber.org/zap"
 
+	"github.com/bluebelldyke/bluebelldyke/modules/binder"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/counter"
 )
@@ -31,16 +34,18 @@
 
 // webServer serves /metrics and /healthz.
 type webServer struct {
+	bind   netip.AddrPort
+	logger *zap.Logger
 	server *http.Server
 	state  atomic.Uint32
 }
 
-func newWebServer(c configurer.Settings, metrics http.Handler) *webServer {
-	w := &webServer{}
+func newWebServer(c configurer.Settings, logger *zap.Logger, metrics http.Handler) *webServer {
+	w := &webServer{bind: c.Metrics.Bind, logger: logger}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics)
 	mux.HandleFunc("GET /healthz", w.handleHealthz)
-	w.server = &http.Server{Addr: c.Metrics.Bind.String(), Handler: mux, ReadHeaderTimeout: time.Second}
+	w.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	return w
 }
 
@@ -52,16 +57,23 @@
 	_, _ = rw.Write([]byte(s.String() + "\n"))
 }
 
-// run serves until ctx ends.
+// run serves until ctx ends. While another process holds the address, it waits.
 func (w *webServer) run(ctx context.Context) error {
+	listener, err := binder.ListenTCP(ctx, binder.Config{Bind: w.bind, Network: "tcp", Key: "metrics.bind", Logger: w.logger})
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
 	stop := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		_ = w.server.Shutdown(shutdownCtx)
 	})
 	defer stop()
-	if err := w.server.ListenAndServe(); !eris.Is(err, http.ErrServerClosed) {
-		return eris.Wrapf(err, "serve metrics on %s: free the port or change metrics.bind", w.server.Addr)
+	if err := w.server.Serve(listener); !eris.Is(err, http.ErrServerClosed) {
+		return eris.Wrapf(err, "serve metrics on %s: free the port or change metrics.bind", w.bind)
 	}
 	return nil
 }
--- a/routers/daemon/sockets.go
+++ b/routers/daemon/sockets.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/models/view"
+	"github.com/bluebelldyke/bluebelldyke/modules/binder"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/ring"
 	"github.com/bluebelldyke/bluebelldyke/routers/transceiver"
@@ -52,14 +53,17 @@
 	}
 }
 
-// start opens the backend socket and runs the receivers until ctx ends. The backend socket has a receiver of its own, so that
-// datagrams from callers cannot delay those from backend servers.
-func (s *sockets) start(ctx context.Context, group *errgroup.Group, backend *ring.Ring[*transceiver.Batch]) error {
-	socket, err := transceiver.Listen(localAddress(s.entry), netip.AddrPort{})
-	if err != nil {
-		return err
-	}
+// bind opens the backend socket. It waits while the address is not on the VM yet.
+func (s *sockets) bind(ctx context.Context) error {
+	c := binder.Config{Bind: localAddress(s.entry), Network: "udp", Key: "entry.ip", Logger: s.logger}
+	socket, err := binder.Bind(ctx, c, func() (*transceiver.Socket, error) { return transceiver.Listen(c.Bind, netip.AddrPort{}) })
 	s.backend = socket
+	return err
+}
+
+// start runs the receivers until ctx ends. The backend socket has a receiver of its own, so that datagrams from callers cannot delay those
+// from backend servers.
+func (s *sockets) start(ctx context.Context, group *errgroup.Group, backend *ring.Ring[*transceiver.Batch]) error {
 	for i := range 1 + entryReceiverCount {
 		r, err := transceiver.NewReceiver()
 		if err != nil {
@@ -68,7 +72,7 @@
 		group.Go(func() error { return r.Run(ctx) })
 		if i > 0 {
 			s.receivers = append(s.receivers, r)
-		} else if err := r.Add(socket, backend); err != nil {
+		} else if err := r.Add(s.backend, backend); err != nil {
 			return err
 		}
 	}
--- a/routers/daemon/sockets_test.go
+++ b/routers/daemon/sockets_test.go
@@ -43,6 +43,7 @@
 		cancel()
 		g.Expect(group.Wait()).To(Succeed())
 	})
+	g.Expect(s.bind(ctx)).To(Succeed())
 	g.Expect(s.start(ctx, group, ring.New[*transceiver.Batch](1))).To(Succeed())
 	now := time.Now()
 	s.update(now, viewOf(address))
--- a/routers/daemon/tasks.go
+++ b/routers/daemon/tasks.go
@@ -51,6 +51,11 @@
 
 // run starts all tasks. It returns when ctx ends and the graceful shutdown is complete, or when a task fails.
 func (t *tasks) run(ctx context.Context) error {
+	if err := t.sockets.bind(ctx); ctx.Err() != nil {
+		return nil
+	} else if err != nil {
+		return err
+	}
 	taskCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, taskCtx := errgroup.WithContext(taskCtx)
