--- a/internal/direct/runner/process.go
+++ b/internal/direct/runner/process.go
@@ -16,7 +16,6 @@
 
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/follower"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
-	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
 	"github.com/bluebelldyke/bluebelldyke/modules/stopper"
@@ -95,20 +94,23 @@
 	signals.SetLogger(log.logger)
 	log.logger.Info("daemon starts", zap.String("vm", settings.VMName), zap.String("availability-zone", settings.AvailabilityZone),
 		zap.Int("process", os.Getpid()), zap.Uint64("incarnation", p.incarnation), zap.String("version", p.version))
+	logAdjustments(log.logger, settings)
 	source, err := c.NewSource(settings)
 	if err != nil {
 		return err
 	}
-	entry, err := transporter.Listen(settings.EntryBind)
+	bound, err := bind(signals.Stopping(), settings, log.logger)
+	if signals.Stopping().Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
-	defer entry.Close() // has no effect if Transporter.Run has closed it
 	var assembled components
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(c, p, settings, settingsContent(content), c.Layout, entry, log.logger, log.level, log.spooler),
-		fx.Provide(func() follower.Source { return source }, newRandom, newMetrics, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
+		fx.Supply(c, p, settings, settingsContent(content), c.Layout, log.logger, log.level, log.spooler),
+		fx.Provide(func() follower.Source { return source }, bound.provide, newRandom, newMetrics, newRecoverer, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
 		fx.Invoke(func(in components) { assembled = in }),
 	)
 	if err := app.Err(); err != nil {
@@ -154,6 +156,12 @@
 	}
 }
 
+func logAdjustments(logger *zap.Logger, s loader.Settings) {
+	for _, a := range s.Adjustments {
+		logger.Warn("setting out of range: the nearest permitted value is used", zap.String("key", a.Key), zap.String("stated", a.Stated), zap.String("used", a.Used))
+	}
+}
+
 // logOutput writes the log of the process to the standard output.
 type logOutput struct {
 	spooler *spooler.Spooler
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -28,6 +28,7 @@
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
 	"github.com/bluebelldyke/bluebelldyke/modules/exposer"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/modules/sleeper"
 	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
 	"github.com/bluebelldyke/bluebelldyke/routers/operator"
@@ -49,7 +50,7 @@
 	// other daemons arrive within this time. With fewer than half of the zone's daemons in rotation the fabric sends to all of them,
 	// including those that refuse readiness checks.
 	quietPeriod = 150 * time.Millisecond
-	// exitReserve is the part of the grace period that draining leaves for the exit of the process.
+	// exitReserve is the part of the grace period that draining leaves for the exit of the process, half of a shorter one at most.
 	exitReserve = 500 * time.Millisecond
 )
 
@@ -110,6 +111,10 @@
 	return meter, page, eris.Wrap(err, "metric process.start-time")
 }
 
+func newRecoverer(logger *zap.Logger, meter metric.Meter) (*recoverer.Recoverer, error) {
+	return recoverer.New(recoverer.Config{Logger: logger, Meter: meter})
+}
+
 func newRecorder(s loader.Settings, logger *zap.Logger, audit *auditor.Auditor) *recorder.Recorder {
 	return recorder.New(recorder.Config{Logger: logger, Audit: trail(audit), LinesPerSecond: s.Log.LinesPerSecond, BytesPerSecond: s.Log.BytesPerSecond})
 }
@@ -123,7 +128,8 @@
 }
 
 func newTransporter(
-	s loader.Settings, entry *net.UDPConn, layout editor.Layout, random *rand.Rand, records *recorder.Recorder, meter metric.Meter,
+	s loader.Settings, entry transporter.Conn, layout editor.Layout, random *rand.Rand, records *recorder.Recorder, meter metric.Meter,
+	contains *recoverer.Recoverer,
 ) (*transporter.Transporter, error) {
 	t := transporter.New(transporter.Config{
 		EntryConn: entry, Layout: layout, Steerer: steerer.New(steerer.Config{
@@ -133,20 +139,25 @@
 			SpeedDigests: s.SpeedDigests, DigestOrigin: uint16(rand.Uint32()), EvenTies: s.EvenTies, StartLimit: s.StartLimit,
 			CrossZoneMargin: s.CrossZoneMargin,
 		}),
-		Recorder: records, Sleeper: sleeper.New(sleeper.TotalSuspended), ReportAtOnce: s.Probes, StartQueue: s.StartQueue,
+		Recorder: records, Recoverer: contains, Sleeper: sleeper.New(sleeper.TotalSuspended), ReportAtOnce: s.Probes, StartQueue: s.StartQueue,
 	})
 	return t, t.RegisterMetrics(meter)
 }
 
-func newPeers(s loader.Settings, process process, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
+func newPeers(
+	s loader.Settings, process process, socket peers.Conn, logger *zap.Logger, meter metric.Meter, contains *recoverer.Recoverer,
+) (*peers.Peers, error) {
 	return peers.New(peers.Config{
-		Bind: s.Peer.Bind, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: process.incarnation,
+		Conn: socket, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: process.incarnation,
 		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Weak: s.Peer.Weak, FastDetection: s.Peer.FastDetection, Logger: logger, Meter: meter, Random: newRandom(),
+		Recoverer: contains,
 	})
 }
 
-func newReporter(s loader.Settings, t *transporter.Transporter, p *peers.Peers, logger *zap.Logger, meter metric.Meter) (*reporter.Reporter, error) {
-	c := reporter.Config{Peers: p, Sink: t, Logger: logger, AvailabilityZone: s.AvailabilityZone, Weak: s.Peer.Weak}
+func newReporter(
+	s loader.Settings, t *transporter.Transporter, p *peers.Peers, logger *zap.Logger, meter metric.Meter, contains *recoverer.Recoverer,
+) (*reporter.Reporter, error) {
+	c := reporter.Config{Peers: p, Sink: t, Logger: logger, Recoverer: contains, AvailabilityZone: s.AvailabilityZone, Weak: s.Peer.Weak}
 	if s.Probes {
 		c.References = t
 	}
@@ -167,13 +178,13 @@
 
 func newFollower(
 	s loader.Settings, source follower.Source, t *transporter.Transporter, p *peers.Peers, r *reporter.Reporter, records *recorder.Recorder,
-	logger *zap.Logger, meter metric.Meter, audit *auditor.Auditor,
+	logger *zap.Logger, meter metric.Meter, audit *auditor.Auditor, contains *recoverer.Recoverer,
 ) (*follower.Follower, error) {
 	f := follower.New(follower.Config{
 		Source: source, Sink: followerSink{t, r}, Peers: p, Logger: logger, AvailabilityZone: s.AvailabilityZone, AvailabilityZones: s.AvailabilityZones,
 		Seeds: s.Peer.Seeds, StalenessBounds: follower.StalenessBounds{BackendList: s.LeavingBound, Configuration: s.ConfigurationBound, Evacuations: s.EvacuationBound},
 		LimitsColdServers: !s.ColdLimit.IsZero(), TracksWarmUp: s.SpeedDigests, HandleDigest: t.AddDigest, Audit: trail(audit),
-		LinkRate: s.Peer.LinkRate, Weak: s.Peer.Weak,
+		LinkRate: s.Peer.LinkRate, Weak: s.Peer.Weak, Recoverer: contains,
 		HandleAdmissionReport: admissionReportHandler(s, t),
 	})
 	r.SetFollower(f)
@@ -207,13 +218,14 @@
 		if l, err := zapcore.ParseLevel(s.Log.Level); err == nil { // the loader has validated the level
 			level.SetLevel(l)
 		}
+		logAdjustments(logger, s)
 		logger.Info("changed settings are in force", zap.Stringers("seeds", s.Peer.Seeds), zap.Bool("restart-needed", s.NeedsRestart(&inForce)))
 		inForce = s
 	}})
 }
 
-func newResponder(s loader.Settings, page http.Handler, logger *zap.Logger) (*responder.Responder, error) {
-	return responder.New(responder.Config{ReadinessBind: s.ReadinessBind, MetricsBind: s.MetricsBind, MetricsPage: page, Logger: logger})
+func newResponder(s loader.Settings, readiness net.Listener, page http.Handler, logger *zap.Logger) *responder.Responder {
+	return responder.New(responder.Config{Readiness: readiness, MetricsBind: s.MetricsBind, MetricsPage: page, Logger: logger})
 }
 
 // countBefore returns the number of members whose address is lower than that of this daemon.
@@ -313,5 +325,5 @@
 	c.Transporter.ForwardHeld()
 	c.Responder.SetReady(false)
 	c.Peers.Leave()
-	c.Logger.Info("daemon leaves", zap.Stringer("reason", awaitDrained(ctx, c.Settings.GracePeriod-exitReserve, c.Responder, c.Transporter)))
+	c.Logger.Info("daemon leaves", zap.Stringer("reason", awaitDrained(ctx, c.Settings.GracePeriod-min(exitReserve, c.Settings.GracePeriod/2), c.Responder, c.Transporter)))
 }
--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -258,7 +258,7 @@
 	}
 }
 
-func newOperator(s configurer.Settings, status *status, logger *zap.Logger, catcher *catcher.Catcher) (*operator.Server, error) {
+func newOperator(s configurer.Settings, status *status, logger *zap.Logger, catcher *catcher.Catcher) *operator.Server {
 	return operator.New(operator.Config{Bind: s.Operator.Bind, Status: status, Audit: status, Logger: logger, Catcher: catcher})
 }
 
--- a/routers/operator/faults_test.go
+++ b/routers/operator/faults_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/routers/operator"
@@ -71,10 +72,9 @@
 	short := &shortListener{Listener: listener}
 	short.failures.Store(3)
 	f := newFakeSource()
-	server, err := operator.New(operator.Config{Listener: short, Status: f, Audit: f})
-	g.Expect(err).NotTo(HaveOccurred())
-	run(t, server)
-	expectStatus(t, server.Address())
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	run(t, operator.New(operator.Config{Listener: short, Bind: address, Status: f, Audit: f, Logger: zap.NewNop()}))
+	expectStatus(t, address)
 }
 
 // TestHeldAddress guards against a daemon that ends because another process, such as its predecessor, holds the operator address.
@@ -84,9 +84,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	address := holder.Addr().(*net.TCPAddr).AddrPort()
 	f := newFakeSource()
-	server, err := operator.New(operator.Config{Bind: address, Status: f, Audit: f})
-	g.Expect(err).NotTo(HaveOccurred())
-	run(t, server)
+	run(t, operator.New(operator.Config{Bind: address, Status: f, Audit: f, Logger: zap.NewNop()}))
 	time.Sleep(100 * time.Millisecond)
 	g.Expect(holder.Close()).To(Succeed())
 	expectStatus(t, address)
@@ -109,9 +107,9 @@
 func TestPanic(t *testing.T) {
 	g := NewWithT(t)
 	f := newFakeSource()
-	server, err := operator.New(operator.Config{Bind: loopback, Status: panickingSource{f, &atomic.Int32{}}, Audit: f})
-	g.Expect(err).NotTo(HaveOccurred())
+	server := operator.New(operator.Config{Bind: loopback, Status: panickingSource{f, &atomic.Int32{}}, Audit: f, Logger: zap.NewNop()})
 	run(t, server)
+	g.Eventually(server.Address).Should(Satisfy(netip.AddrPort.IsValid))
 	client, err := operator.Dial(t.Context(), server.Address())
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = client.Status(t.Context())
@@ -124,9 +122,9 @@
 func TestOddConnections(t *testing.T) {
 	g := NewWithT(t)
 	f := newFakeSource()
-	server, err := operator.New(operator.Config{Bind: loopback, Status: f, Audit: f})
-	g.Expect(err).NotTo(HaveOccurred())
+	server := operator.New(operator.Config{Bind: loopback, Status: f, Audit: f, Logger: zap.NewNop()})
 	run(t, server)
+	g.Eventually(server.Address).Should(Satisfy(netip.AddrPort.IsValid))
 	for _, message := range []string{
 		"", "{", "null", "null null", "[]", "[[[", "1e999", `{"jsonrpc":"2.0","method":"status"}`, `{"method":"audit","id":1,"params":null}`,
 		`{"method":"audit","id":1,"params":{"newest":1e300}}`, `{"id":1,"result":{}}`, `{"id":18446744073709551616,"method":"status"}`, "\x00\xff",
@@ -162,10 +160,7 @@
 		f.Add([]byte(seed))
 	}
 	source := newFakeSource()
-	server, err := operator.New(operator.Config{Bind: loopback, Status: source, Audit: source})
-	if err != nil {
-		f.Fatal(err)
-	}
+	server := operator.New(operator.Config{Bind: loopback, Status: source, Audit: source, Logger: zap.NewNop()})
 	f.Fuzz(func(t *testing.T, message []byte) {
 		client, stream := net.Pipe()
 		var group errgroup.Group
--- a/routers/operator/server.go
+++ b/routers/operator/server.go
@@ -7,7 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,91 +29,66 @@
 
 // Config configures a Server.
 type Config struct {
-	// Bind is the TCP address to listen on. It is not used if Listener is set.
-	Bind     netip.AddrPort
+	Bind netip.AddrPort
+	// Listener is the first listener; nil means a new one on Bind.
 	Listener net.Listener
 	Status   StatusSource
 	Audit    AuditSource
-	Logger   *zap.Logger      // optional
-	Catcher  *catcher.Catcher // optional
+	Logger   *zap.Logger
+	// Catcher contains the panics of queries; it is optional.
+	Catcher *catcher.Catcher
 }
 
 // Server answers queries at the operator address.
 type Server struct {
-	status   StatusSource
-	audit    AuditSource
-	logger   *zap.Logger
-	catcher  *catcher.Catcher
-	bind     netip.AddrPort
-	listener net.Listener // nil while another process holds the address
+	c       Config
+	address atomic.Pointer[netip.AddrPort]
 }
 
-// New returns a Server. It listens on the operator address already unless another process holds that or descriptors are short; then Run
-// waits until it can.
-func New(c Config) (*Server, error) {
-	s := &Server{status: c.Status, audit: c.Audit, logger: c.Logger, catcher: c.Catcher, bind: c.Bind, listener: c.Listener}
-	if s.logger == nil {
-		s.logger = zap.NewNop()
-	}
-	if s.listener != nil {
-		return s, nil
-	}
-	listener, err := net.Listen("tcp", c.Bind.String())
-	if eris.Is(err, syscall.EACCES) {
-		return nil, eris.Wrap(err, "listen on the operator address")
-	}
-	if err == nil {
-		s.listener = listener
-	}
-	return s, nil
-}
+// New returns a Server.
+func New(c Config) *Server { return &Server{c: c} }
 
-// Address returns the bound address, or the one to be bound while another process holds it.
+// Address returns the bound address, the zero value while it is not bound.
 func (s *Server) Address() netip.AddrPort {
-	if s.listener == nil {
-		return s.bind
+	if a := s.address.Load(); a != nil {
+		return *a
 	}
-	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+	return netip.AddrPort{}
 }
 
-// Run answers queries until ctx ends, and then closes all connections.
+// Run answers queries until ctx ends, and then closes all connections. The daemon does not depend on the operator address, which is bound
+// when it is free.
 func (s *Server) Run(ctx context.Context) error {
-	listener := s.listener
-	if listener == nil {
-		var err error
-		listener, err = binder.ListenTCP(ctx, binder.Config{Bind: s.bind, Network: "tcp", Key: "operator.bind", Logger: s.logger})
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-	listener = netutil.LimitListener(listener, maxConnections)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		<-ctx.Done()
-		return listener.Close()
-	})
-	group.Go(func() error {
-		for {
-			stream, err := listener.Accept()
-			if ctx.Err() != nil {
-				return nil
-			}
-			if err != nil { // such as no free descriptors; the listener is still usable
-				time.Sleep(acceptRetryDelay)
-				continue
-			}
-			group.Go(func() error {
-				s.Serve(ctx, stream)
-				return nil
-			})
+		c := binder.Config{Bind: s.c.Bind, Network: "tcp", Key: "operator.bind", Logger: s.c.Logger}
+		if err := binder.KeepServing(ctx, c, s.c.Listener, func(l net.Listener) error { return s.accept(ctx, group, l) }); err != nil {
+			s.c.Logger.Warn("operator address not bound: queries are not answered", zap.Error(err))
 		}
+		return nil
 	})
 	return group.Wait()
 }
 
+// accept accepts connections until ctx ends or the listener fails.
+func (s *Server) accept(ctx context.Context, group *errgroup.Group, listener net.Listener) error {
+	bound := listener.Addr().(*net.TCPAddr).AddrPort()
+	s.address.Store(&bound)
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	limited := netutil.LimitListener(listener, maxConnections)
+	for {
+		stream, err := limited.Accept()
+		if err != nil {
+			return eris.Wrap(err, "accept a connection at the operator address")
+		}
+		group.Go(func() error {
+			s.Serve(ctx, stream)
+			return nil
+		})
+	}
+}
+
 // Serve answers the queries of one connection until it is closed. An invalid message closes only that connection.
 func (s *Server) Serve(ctx context.Context, stream net.Conn) {
 	if stream.SetDeadline(time.Now().Add(connectionTimeout)) != nil {
@@ -144,7 +119,7 @@
 }
 
 func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (result any, err error) {
-	err = s.catcher.RunErr("operator query", func() error {
+	err = s.c.Catcher.RunErr("operator query", func() error {
 		result, err = s.answer(r)
 		return err
 	})
@@ -154,13 +129,13 @@
 func (s *Server) answer(r *jsonrpc2.Request) (any, error) {
 	switch r.Method {
 	case methodStatus:
-		return statusToWire(s.status.Status()), nil
+		return statusToWire(s.c.Status.Status()), nil
 	case methodAudit:
 		var query wireAuditQuery
 		if r.Params == nil || json.Unmarshal(*r.Params, &query) != nil || query.Newest < 1 || query.Newest > MaxAuditEntries {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: fmt.Sprintf("newest must be a number from 1 to %d", MaxAuditEntries)}
 		}
-		return entriesToWire(s.audit.NewestEntries(query.Newest)), nil
+		return entriesToWire(s.c.Audit.NewestEntries(query.Newest)), nil
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method + ": use status or audit"}
 	}
--- a/routers/operator/status.go
+++ b/routers/operator/status.go
@@ -106,6 +106,4 @@
 	connectionTimeout = time.Minute
 	// maxQueryBytes limits what is read on one connection: hundreds of queries.
 	maxQueryBytes = 64 << 10
-	// acceptRetryDelay keeps the accept loop from spinning while the process has no free descriptors.
-	acceptRetryDelay = 50 * time.Millisecond
 )
