routers/daemon, routers/operator: contain panics with modules/recoverer

The form serve now also contains panics at the datagrams of peers and at gossip ticks, and the form direct at operator queries, for which Peers and Server had the parameter already or get it here.

--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -21,10 +21,10 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebelldyke/bluebelldyke/modules/binder"
-	"github.com/bluebelldyke/bluebelldyke/modules/catcher"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/counter"
 	"github.com/bluebelldyke/bluebelldyke/modules/exposer"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/modules/ring"
 	"github.com/bluebelldyke/bluebelldyke/routers/checker"
 	"github.com/bluebelldyke/bluebelldyke/routers/operator"
@@ -89,7 +89,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, logger, sockets),
 		fx.Provide(
-			newProcess, newMetrics, newCatcher, newWebServer, newPeers, newRelayer, newScheduler, newGatekeeper, newCounters,
+			newProcess, newMetrics, newRecoverer, newWebServer, newPeers, newRelayer, newScheduler, newGatekeeper, newCounters,
 			newForwarder, newRings, newEntrySockets, newWriters, newChecker, newDecider, newAuditor, newStatus, newOperator,
 			newTasks,
 		),
@@ -146,14 +146,15 @@
 	return provider.Meter("bluebelldyke"), handler, nil
 }
 
-func newCatcher(logger *zap.Logger, meter metric.Meter) (*catcher.Catcher, error) {
-	return catcher.New(catcher.Config{Logger: logger, Meter: meter})
+func newRecoverer(logger *zap.Logger, meter metric.Meter) (*recoverer.Recoverer, error) {
+	return recoverer.New(recoverer.Config{Logger: logger, Meter: meter})
 }
 
-func newPeers(s configurer.Settings, p process, sockets peerSockets, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
+func newPeers(s configurer.Settings, p process, sockets peerSockets, recoverer *recoverer.Recoverer, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
 	return peers.New(peers.Config{
 		Conn: sockets.udp, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: p.incarnation,
 		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Logger: logger, Meter: meter, Random: p.newRandom(),
+		Recoverer: recoverer,
 	})
 }
 
@@ -250,16 +251,16 @@
 
 func newDecider(
 	logger *zap.Logger, f *forwarder.Forwarder, s *scheduler.Scheduler, sockets *sockets, w *writers, c *checker.Checker,
-	r *relayer.Relayer, members *peers.Peers, rings rings, web *webServer, catcher *catcher.Catcher,
+	r *relayer.Relayer, members *peers.Peers, rings rings, web *webServer, recoverer *recoverer.Recoverer,
 ) *decider {
 	return &decider{
 		logger: logger, forwarder: f, scheduler: s, sockets: sockets, writers: w, checker: c, views: r.Views(),
-		refresher: r, gateForwarder: members, candidates: members, rings: rings, web: web, catcher: catcher,
+		refresher: r, gateForwarder: members, candidates: members, rings: rings, web: web, recoverer: recoverer,
 	}
 }
 
-func newOperator(s configurer.Settings, status *status, logger *zap.Logger, catcher *catcher.Catcher) *operator.Server {
-	return operator.New(operator.Config{Bind: s.Operator.Bind, Status: status, Audit: status, Logger: logger, Catcher: catcher})
+func newOperator(s configurer.Settings, status *status, logger *zap.Logger, recoverer *recoverer.Recoverer) *operator.Server {
+	return operator.New(operator.Config{Bind: s.Operator.Bind, Status: status, Audit: status, Logger: logger, Recoverer: recoverer})
 }
 
 // localAddress returns the address to which the socket to backend servers is bound.
--- a/routers/daemon/decider.go
+++ b/routers/daemon/decider.go
@@ -11,8 +11,8 @@
 	"github.com/bluebelldyke/bluebelldyke/models/fleet"
 	"github.com/bluebelldyke/bluebelldyke/models/settings"
 	"github.com/bluebelldyke/bluebelldyke/models/view"
-	"github.com/bluebelldyke/bluebelldyke/modules/catcher"
 	"github.com/bluebelldyke/bluebelldyke/modules/packer"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/routers/checker"
 	"github.com/bluebelldyke/bluebelldyke/routers/peers"
 	"github.com/bluebelldyke/bluebelldyke/routers/transceiver"
@@ -67,7 +67,7 @@
 	gateForwarder gateForwarder
 	web           *webServer
 	candidates    candidateSetter
-	catcher       *catcher.Catcher
+	recoverer     *recoverer.Recoverer
 	rings
 
 	output      *output
@@ -92,23 +92,23 @@
 		case b := <-d.backend.Items():
 			d.handleBackendBatch(b)
 		case f := <-d.gateForwarder.GateForwards():
-			d.catcher.Run("forwarded datagram", func() {
+			d.recoverer.Do("forwarded-datagram", len(f.Datagram), func() {
 				d.detectPause(time.Now())
 				d.forwarder.HandleForwardedDatagram(time.Now(), f.Caller, f.Service, f.Datagram, &d.output.actions)
 			})
 		case v := <-d.views:
-			d.catcher.Run("settings", func() { d.setView(v) })
+			d.recoverer.Do("settings", 0, func() { d.setView(v) })
 		case u := <-d.healthUpdates.Items():
-			d.catcher.Run("health update", func() { d.handleHealthUpdate(u) })
+			d.recoverer.Do("health-update", 0, func() { d.handleHealthUpdate(u) })
 		case query := <-d.queries.Items():
-			d.catcher.Run("query", func() { query(time.Now()) })
+			d.recoverer.Do("query", 0, func() { query(time.Now()) })
 		case <-ticker.C:
 			if err := d.runTick(); err != nil {
 				return err
 			}
 		}
 		if d.noDatagramsWaiting() || len(d.output.actions.List) >= flushThreshold {
-			if !d.catcher.Run("output", d.flush) {
+			if !d.recoverer.Do("output", 0, d.flush) {
 				d.output = newOutput()
 			}
 		}
@@ -118,14 +118,14 @@
 // runTick runs tick. A tick handles what is due in order, so one that always fails would leave all that is due later undone; a new
 // process has a new state.
 func (d *decider) runTick() error {
-	if d.catcher.Run("tick", d.tick) {
+	if d.recoverer.Do("tick", 0, d.tick) {
 		d.failedTicks = 0
 		return nil
 	}
 	if d.failedTicks++; d.failedTicks < maxFailedTicks {
 		return nil
 	}
-	return eris.Errorf("the last %d ticks failed: report the log line \"work failed\"", d.failedTicks)
+	return eris.Errorf("the last %d ticks failed: report the log line \"input dropped because of a panic\"", d.failedTicks)
 }
 
 // noDatagramsWaiting reports whether no datagram is queued. Collected output is then flushed, because no further datagram will soon
@@ -136,7 +136,7 @@
 	now := time.Now()
 	d.detectPause(now)
 	for _, datagram := range b.Datagrams {
-		d.catcher.Run("caller datagram", func() {
+		d.recoverer.Do("caller-datagram", len(datagram.Data), func() {
 			d.forwarder.HandleCallerDatagram(now, datagram.From, b.ServiceAddress, datagram.Data, &d.output.actions)
 		})
 	}
@@ -147,7 +147,7 @@
 	now := time.Now()
 	d.detectPause(now) // a refusal by a backend server leads to a retry, which needs a placement
 	for _, datagram := range b.Datagrams {
-		d.catcher.Run("backend datagram", func() {
+		d.recoverer.Do("backend-datagram", len(datagram.Data), func() {
 			d.forwarder.HandleBackendDatagram(now, datagram.From, datagram.Data, &d.output.actions)
 		})
 	}
--- a/routers/daemon/panic_test.go
+++ b/routers/daemon/panic_test.go
@@ -8,15 +8,16 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/metric/noop"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/models/fleet"
 	"github.com/bluebelldyke/bluebelldyke/models/settings"
 	"github.com/bluebelldyke/bluebelldyke/models/view"
-	"github.com/bluebelldyke/bluebelldyke/modules/catcher"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/framer"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/modules/ring"
 	"github.com/bluebelldyke/bluebelldyke/routers/checker"
 	"github.com/bluebelldyke/bluebelldyke/routers/peers"
@@ -75,12 +76,12 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	random := rand.New(rand.NewPCG(1, 2))
 	placer.Scheduler = scheduler.New(scheduler.Config{AvailabilityZone: "souillac", Random: random})
-	caught, err := catcher.New(catcher.Config{})
+	contained, err := recoverer.New(recoverer.Config{Logger: zap.NewNop(), Meter: noop.Meter{}})
 	g.Expect(err).NotTo(HaveOccurred())
 	checked, err := checker.New(checker.Config{Random: random})
 	g.Expect(err).NotTo(HaveOccurred())
 	d := &decider{
-		logger: zap.NewNop(), scheduler: placer.Scheduler, rings: newRings(), catcher: caught, checker: checked, web: &webServer{},
+		logger: zap.NewNop(), scheduler: placer.Scheduler, rings: newRings(), recoverer: contained, checker: checked, web: &webServer{},
 		refresher: fakePlatform{}, gateForwarder: fakePlatform{}, candidates: fakePlatform{},
 		forwarder: forwarder.New(forwarder.Config{
 			AvailabilityZone: "souillac", Random: random, Placer: placer, Gate: gatekeeper.New(gatekeeper.Config{Random: random}),
@@ -114,7 +115,7 @@
 		request(d, "ovenwatch", "127.0.0.1:7001", id)
 		request(d, "recipecard", "127.0.0.1:7002", id)
 	}
-	g.Eventually(d.catcher.Counts).Should(HaveKeyWithValue("caller datagram", uint64(20)))
+	g.Eventually(func() int64 { return d.recoverer.Panics("caller-datagram") }).Should(Equal(int64(20)))
 	g.Eventually(func() int {
 		n, _ := runQuery(ctx, d, func(time.Time) int { return d.forwarder.PendingCount() })
 		return n
--- a/routers/operator/faults_test.go
+++ b/routers/operator/faults_test.go
@@ -11,9 +11,11 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/metric/noop"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/routers/operator"
 )
 
@@ -107,7 +109,11 @@
 func TestPanic(t *testing.T) {
 	g := NewWithT(t)
 	f := newFakeSource()
-	server := operator.New(operator.Config{Bind: loopback, Status: panickingSource{f, &atomic.Int32{}}, Audit: f, Logger: zap.NewNop()})
+	contained, err := recoverer.New(recoverer.Config{Logger: zap.NewNop(), Meter: noop.Meter{}})
+	g.Expect(err).NotTo(HaveOccurred())
+	server := operator.New(operator.Config{
+		Bind: loopback, Status: panickingSource{f, &atomic.Int32{}}, Audit: f, Logger: zap.NewNop(), Recoverer: contained,
+	})
 	run(t, server)
 	g.Eventually(server.Address).Should(Satisfy(netip.AddrPort.IsValid))
 	client, err := operator.Dial(t.Context(), server.Address())
--- a/routers/operator/server.go
+++ b/routers/operator/server.go
@@ -17,7 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/modules/binder"
-	"github.com/bluebelldyke/bluebelldyke/modules/catcher"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/services/auditor"
 )
 
@@ -35,8 +35,8 @@
 	Status   StatusSource
 	Audit    AuditSource
 	Logger   *zap.Logger
-	// Catcher contains the panics of queries; it is optional.
-	Catcher *catcher.Catcher
+	// Recoverer contains the panics of queries; nil contains none.
+	Recoverer *recoverer.Recoverer
 }
 
 // Server answers queries at the operator address.
@@ -119,10 +119,9 @@
 }
 
 func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (result any, err error) {
-	err = s.c.Catcher.RunErr("operator query", func() error {
-		result, err = s.answer(r)
-		return err
-	})
+	if !s.c.Recoverer.Do("operator-query", 0, func() { result, err = s.answer(r) }) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "internal error: see the log of the daemon"}
+	}
 	return result, err
 }
 
