routers/daemon: a log output that nothing reads does not end a balancer

Operators would see a balancer end by SIGPIPE at its next log line when the reader of its standard error was gone, such as a restarted log collector, and stop handling datagrams when the reader did not read: the decision goroutine writes log lines.

Cause: lines went to os.Stderr on the goroutine that logs, and the runtime ends a process by SIGPIPE at a failed write to file descriptors 1 and 2.

The last line, daemon ends, states the cause.

--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -13,7 +13,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/dig"
 	"go.uber.org/fx"
@@ -24,6 +23,7 @@
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/counter"
 	"github.com/bluebelldyke/bluebelldyke/modules/exposer"
+	"github.com/bluebelldyke/bluebelldyke/modules/printer"
 	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/modules/ring"
 	"github.com/bluebelldyke/bluebelldyke/routers/checker"
@@ -73,10 +73,16 @@
 
 // Run runs a balancer until ctx ends, and then shuts it down gracefully.
 func Run(ctx context.Context, s configurer.Settings) error {
-	logger, err := newLogger(s)
+	output, err := newLogOutput(s, printer.Stderr)
 	if err != nil {
 		return err
 	}
+	err = run(ctx, s, output.logger)
+	output.end(ctx, err)
+	return err
+}
+
+func run(ctx context.Context, s configurer.Settings, logger *zap.Logger) error {
 	sockets, err := bindPeers(ctx, s, logger)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -120,23 +126,6 @@
 	}
 }
 
-func newLogger(s configurer.Settings) (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	if s.Log.Format == "text" {
-		c = zap.NewDevelopmentConfig()
-	}
-	if s.Log.Level != "" {
-		level, err := zap.ParseAtomicLevel(s.Log.Level)
-		if err != nil {
-			return nil, eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
-		}
-		c.Level = level
-	}
-	c.DisableStacktrace = true
-	logger, err := c.Build()
-	return logger, eris.Wrap(err, "create the logger")
-}
-
 func newMetrics(lc fx.Lifecycle) (metric.Meter, http.Handler, error) {
 	provider, handler, err := exposer.New()
 	if err != nil {
