runner: a daemon whose log nobody reads any more does not end

A daemon of the form direct ended by SIGPIPE at its next log line once the reader of its standard output was gone: the Go runtime ends a process at a failed write of os.Stdout, from whichever goroutine. The spooler kept a slow reader from delaying the daemon, not a closed one from ending it.

Change: the spooler writes to modules/printer, whose writes fail without a signal; failed lines are counted as dropped.

TestReaderGone of modules/printer guards the writes.

--- a/internal/direct/runner/process.go
+++ b/internal/direct/runner/process.go
@@ -17,6 +17,7 @@
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/follower"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
+	"github.com/bluebelldyke/bluebelldyke/modules/printer"
 	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
 	"github.com/bluebelldyke/bluebelldyke/modules/stopper"
 )
@@ -175,7 +176,7 @@
 // startLog starts the log with the default settings.
 func startLog() *logOutput {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &logOutput{spooler: spooler.New(os.Stdout, 0), level: zap.NewAtomicLevel(), cancel: cancel, ended: make(chan struct{})}
+	l := &logOutput{spooler: spooler.New(printer.Stdout, 0), level: zap.NewAtomicLevel(), cancel: cancel, ended: make(chan struct{})}
 	l.encoder = zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
 	l.logger = zap.New(zapcore.NewCore(l.encoder, l.spooler, l.level))
 	var group errgroup.Group
