--- a/routers/operator/server.go
+++ b/routers/operator/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/modules/binder"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/services/auditor"
 )
 
@@ -27,10 +29,14 @@
 
 // Config configures a Server.
 type Config struct {
-	Bind   netip.AddrPort
-	Status StatusSource
-	Audit  AuditSource
-	Logger *zap.Logger
+	Bind netip.AddrPort
+	// Listener is the first listener; nil means a new one on Bind.
+	Listener net.Listener
+	Status   StatusSource
+	Audit    AuditSource
+	Logger   *zap.Logger
+	// Recoverer contains the panics of queries; nil contains none.
+	Recoverer *recoverer.Recoverer
 }
 
 // Server answers queries at the operator address.
@@ -56,7 +62,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		c := binder.Config{Bind: s.c.Bind, Network: "tcp", Key: "operator.bind", Logger: s.c.Logger}
-		if err := binder.KeepServing(ctx, c, nil, func(l net.Listener) error { return s.accept(ctx, group, l) }); err != nil {
+		if err := binder.KeepServing(ctx, c, s.c.Listener, func(l net.Listener) error { return s.accept(ctx, group, l) }); err != nil {
 			s.c.Logger.Warn("operator address not bound: queries are not answered", zap.Error(err))
 		}
 		return nil
@@ -77,19 +83,19 @@
 			return eris.Wrap(err, "accept a connection at the operator address")
 		}
 		group.Go(func() error {
-			s.serve(ctx, stream)
+			s.Serve(ctx, stream)
 			return nil
 		})
 	}
 }
 
-// serve answers the queries of one connection. An invalid message closes only that connection.
-func (s *Server) serve(ctx context.Context, stream net.Conn) {
+// Serve answers the queries of one connection until it is closed. An invalid message closes only that connection.
+func (s *Server) Serve(ctx context.Context, stream net.Conn) {
 	if stream.SetDeadline(time.Now().Add(connectionTimeout)) != nil {
 		_ = stream.Close() // the client has closed the connection
 		return
 	}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(stream), jsonrpc2.HandlerWithError(s.handle), jsonrpc2.SetLogger(discardLogger))
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(&limitedConn{stream, maxQueryBytes}), jsonrpc2.HandlerWithError(s.handle), jsonrpc2.SetLogger(discardLogger))
 	select {
 	case <-conn.DisconnectNotify():
 	case <-ctx.Done():
@@ -97,7 +103,29 @@
 	}
 }
 
-func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+// limitedConn limits the bytes that are read from a connection.
+type limitedConn struct {
+	net.Conn
+	remaining int
+}
+
+func (c *limitedConn) Read(b []byte) (int, error) {
+	if c.remaining <= 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.remaining)])
+	c.remaining -= n
+	return n, err
+}
+
+func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (result any, err error) {
+	if !s.c.Recoverer.Do("operator-query", 0, func() { result, err = s.answer(r) }) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "internal error: see the log of the daemon"}
+	}
+	return result, err
+}
+
+func (s *Server) answer(r *jsonrpc2.Request) (any, error) {
 	switch r.Method {
 	case methodStatus:
 		return statusToWire(s.c.Status.Status()), nil
