signaler: a daemon goes on when the reader of its output ends

A daemon whose standard output is a pipe ended by SIGPIPE (status 141) at the first line after the reader of the pipe had gone, without a last line and with its flows, in direct and serve. A collector of logs that restarts thus ended all daemons that it read from.

Cause: the Go runtime raises SIGPIPE again for a failed write to descriptor 1 or 2 unless the signal is ignored or caught. The error path of the spooler, which counts the line as dropped, was never reached.

Change: signaler ignores SIGPIPE together with catching the signals of a daemon.

--- a/modules/signaler/signaler.go
+++ b/modules/signaler/signaler.go
@@ -26,11 +26,12 @@
 func catch() chan os.Signal {
 	signals := make(chan os.Signal, capacity)
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGPIPE) // otherwise the Go runtime ends the process at a line to a standard output without a reader
 	return signals
 }
 
-// Signals returns the channel of SIGHUP, SIGTERM and SIGINT, whose default actions are off from then on. It has the signals since the start
-// of a process whose first argument is the subcommand of a daemon.
+// Signals returns the channel of SIGHUP, SIGTERM and SIGINT, whose default actions are off from then on, like that of SIGPIPE. It has the
+// signals since the start of a process whose first argument is the subcommand of a daemon.
 func Signals() <-chan os.Signal {
 	if early == nil {
 		early = catch()
