transporter: a panic soon after a rebuild leaves half-changed state in force

After a panic at a packet or a tick, the daemon rebuilds the state of its flows from the documents in force, at most every 10 s. A panic within 10 s of the previous rebuild was counted, but nothing rebuilt the state afterwards unless a third panic came later: the daemon could decide about packets with half-changed state without a limit of time.

Change: such a panic leaves a rebuild pending, which the first tick after the interval does. The bound of one rebuild in 10 s stays.

Measured: TestPanicSoonAfterRebuild fails before (1 rebuild, want 2) and passes; tests of the package pass with -race.

--- a/internal/direct/transporter/contain.go
+++ b/internal/direct/transporter/contain.go
@@ -94,9 +94,11 @@
 	}
 }
 
-// repair rebuilds the Steerer after a panic that may have left its state inconsistent, unless that was done lately. The caller holds mu.
+// repair rebuilds the Steerer after a panic that may have left its state inconsistent. If that was done lately, a later tick does it. The
+// caller holds mu.
 func (t *Transporter) repair(now time.Time) {
-	if t.repairedAt.IsZero() || now.Sub(t.repairedAt) >= repairInterval {
+	t.repairPending = !t.repairedAt.IsZero() && now.Sub(t.repairedAt) < repairInterval
+	if !t.repairPending {
 		t.repairedAt = now
 		t.rebuildInForce(now)
 	}
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -94,6 +94,7 @@
 	mu                sync.Mutex   // guards the Steerer, the Recorder and the fields below
 	inForce           documents
 	repairedAt        time.Time // when the Steerer was last rebuilt after a panic at a packet or a tick
+	repairPending     bool      // a later panic has not been followed by a rebuild yet
 	stopping          bool      // a planned stop is under way
 	receivedParts     [viewParts]bool
 	ready             chan struct{}
@@ -325,7 +326,12 @@
 		rank = t.zoneRank()
 	}
 	var d due
-	t.guarded(tickBoundary, func(now time.Time) { d = t.takeDue(now, members, rank) })
+	t.guarded(tickBoundary, func(now time.Time) {
+		if t.repairPending {
+			t.repair(now)
+		}
+		d = t.takeDue(now, members, rank)
+	})
 	for i := range d.resets {
 		t.sendReset(buffer, &d.resets[i].Packet)
 	}
