supervisor: the error of a component doesn't end a daemon

What was seen: each component that the runner starts ends the whole daemon when it returns an error; a panic outside of an input boundary ends the process by the Go runtime, without the last line; a component that hangs, or an output that nobody reads, keeps a stopping process for ever. Cause: all components shared one error group, and the runner waited for each of them and for both outputs without a limit. A panic in a guarded goroutine starts components without state again; for the others it ends the process at once with the stack on the last line, also if the panic has left a lock locked. A stopping process waits 0.3 s for components that hang. A panic in a query of an operator fails that query.

--- a/internal/direct/dialer/dialer.go
+++ b/internal/direct/dialer/dialer.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
+	"github.com/bluebelldyke/bluebelldyke/modules/supervisor"
 	"github.com/bluebelldyke/bluebelldyke/services/prober"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
@@ -69,7 +70,7 @@
 func (d *Dialer) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for range parallelProbes {
-		group.Go(func() error {
+		group.Go(supervisor.Guard(ctx, func() error {
 			for {
 				select {
 				case <-ctx.Done():
@@ -78,7 +79,7 @@
 					d.report(p, d.probe(ctx, p))
 				}
 			}
-		})
+		}))
 	}
 	return group.Wait()
 }
--- a/internal/direct/runner/process.go
+++ b/internal/direct/runner/process.go
@@ -19,6 +19,7 @@
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
 	"github.com/bluebelldyke/bluebelldyke/modules/stopper"
+	"github.com/bluebelldyke/bluebelldyke/modules/supervisor"
 )
 
 const (
@@ -110,7 +111,7 @@
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(c, p, settings, settingsContent(content), c.Layout, log.logger, log.level, log.spooler),
-		fx.Provide(func() follower.Source { return source }, bound.provide, newRandom, newMetrics, newRecoverer, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
+		fx.Provide(func() follower.Source { return source }, bound.provide, newRandom, newMetrics, newSupervisor, newRecoverer, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
 		fx.Invoke(func(in components) { assembled = in }),
 	)
 	if err := app.Err(); err != nil {
@@ -208,7 +209,12 @@
 		cause = context.Cause(signals.Stopping()).Error() // run ends only by an error or a stop
 	}
 	logger := zap.New(zapcore.NewCore(l.encoder, l.spooler.LastLine(), zapcore.DebugLevel))
-	logger.Info("daemon ends", zap.String("cause", cause), zap.Int("exit-status", c.ExitStatus(err)), zap.Error(err))
+	fields := []zap.Field{zap.String("cause", cause), zap.Int("exit-status", c.ExitStatus(err)), zap.Error(err)}
+	var p *supervisor.ErrPanic
+	if eris.As(err, &p) {
+		fields = append(fields, zap.ByteString("stack", p.Stack))
+	}
+	logger.Info("daemon ends", fields...)
 	l.cancel()
 	select {
 	case <-l.ended:
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -31,6 +31,7 @@
 	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/modules/sleeper"
 	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
+	"github.com/bluebelldyke/bluebelldyke/modules/supervisor"
 	"github.com/bluebelldyke/bluebelldyke/routers/operator"
 	"github.com/bluebelldyke/bluebelldyke/routers/peers"
 	"github.com/bluebelldyke/bluebelldyke/services/auditor"
@@ -50,6 +51,8 @@
 	// other daemons arrive within this time. With fewer than half of the zone's daemons in rotation the fabric sends to all of them,
 	// including those that refuse readiness checks.
 	quietPeriod = 150 * time.Millisecond
+	// componentEndLimit is the longest wait for the components to end.
+	componentEndLimit = 300 * time.Millisecond
 	// exitReserve is the part of the grace period that draining leaves for the exit of the process, half of a shorter one at most.
 	exitReserve = 500 * time.Millisecond
 )
@@ -75,7 +78,7 @@
 	Settings    loader.Settings
 	Process     process
 	Logger      *zap.Logger
-	LogOutput   *spooler.Spooler
+	Supervisor  *supervisor.Supervisor
 	Peers       *peers.Peers
 	Reporter    *reporter.Reporter
 	Follower    *follower.Follower
@@ -111,6 +114,10 @@
 	return meter, page, eris.Wrap(err, "metric process.start-time")
 }
 
+func newSupervisor(logger *zap.Logger, meter metric.Meter) (*supervisor.Supervisor, error) {
+	return supervisor.New(supervisor.Config{Logger: logger, Meter: meter})
+}
+
 func newRecoverer(logger *zap.Logger, meter metric.Meter) (*recoverer.Recoverer, error) {
 	return recoverer.New(recoverer.Config{Logger: logger, Meter: meter})
 }
@@ -239,22 +246,22 @@
 	return n
 }
 
-// run runs the components until the daemon has drained after ctx has ended, until abort ends, or until a component has failed.
+// run runs the components until the daemon has drained after ctx has ended, until abort ends, or until a component cannot go on.
 func (c *components) run(ctx, abort context.Context) error {
 	runCtx, cancel := context.WithCancel(abort)
 	defer cancel()
 	group, runCtx := errgroup.WithContext(runCtx)
-	run := func(name string, f func(context.Context) error) {
-		group.Go(func() error { return eris.Wrapf(f(runCtx), "component %s", name) })
+	run := func(component supervisor.Component) {
+		group.Go(func() error { return c.Supervisor.Run(runCtx, component) })
 	}
-	run("peers", c.Peers.Run)
-	run("reporter", c.Reporter.Run)
-	run("follower", c.Follower.Run)
-	run("transporter", c.Transporter.Run)
-	run("responder", c.Responder.Run)
-	run("reloader", c.Reloader.Run)
+	run(supervisor.Component{Name: "peers", Run: c.Peers.Run})
+	run(supervisor.Component{Name: "reporter", Run: c.Reporter.Run})
+	run(supervisor.Component{Name: "follower", Run: c.Follower.Run})
+	run(supervisor.Component{Name: "transporter", Run: c.Transporter.Run})
+	run(supervisor.Component{Name: "responder", Run: c.Responder.Run, Stateless: true})
+	run(supervisor.Component{Name: "reloader", Run: c.Reloader.Run, Stateless: true})
 	if c.Operator != nil {
-		run("operator", c.Operator.Run)
+		run(supervisor.Component{Name: "operator", Run: c.Operator.Run, Stateless: true})
 	}
 	group.Go(func() error {
 		select {
@@ -277,7 +284,32 @@
 		cancel()
 		return nil
 	})
-	return group.Wait()
+	return waitForComponents(runCtx, group)
+}
+
+// waitForComponents waits until the components have ended. Once ctx has ended, those that hang, for example on a lock that a panic has left
+// locked, do not hold the process for long.
+func waitForComponents(ctx context.Context, group *errgroup.Group) error {
+	ended := make(chan error, 1)
+	var waiter errgroup.Group
+	waiter.Go(func() error {
+		ended <- group.Wait()
+		return nil
+	})
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(componentEndLimit):
+	}
+	if cause := context.Cause(ctx); supervisor.IsErrPanic(cause) {
+		return cause
+	}
+	return nil
 }
 
 // refusalCounter counts the readiness checks that were refused.
--- a/internal/direct/runner/runner_test.go
+++ b/internal/direct/runner/runner_test.go
@@ -1,11 +1,15 @@
 package runner
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebelldyke/bluebelldyke/modules/supervisor"
 )
 
 // fabric simulates a fabric that checks readiness every 500 ms and continues to send packets for some time after the drain began.
@@ -39,3 +43,29 @@
 		})
 	}
 }
+
+// TestHangingComponent guards against a process that does not end, or loses the cause of its end, because a panic has left a lock locked.
+func TestHangingComponent(t *testing.T) {
+	for name, cause := range map[string]error{"panic": &supervisor.ErrPanic{Component: "transporter", Value: "odd input"}, "stop": nil} {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancelCause(t.Context())
+		group, ctx := errgroup.WithContext(ctx)
+		release := make(chan struct{})
+		group.Go(func() error { <-release; return nil })
+		if cause == nil {
+			cancel(nil)
+		} else {
+			group.Go(func() error { return cause })
+		}
+		began := time.Now()
+		err := waitForComponents(ctx, group)
+		g.Expect(time.Since(began)).To(BeNumerically("<", 2*componentEndLimit), name)
+		if cause == nil {
+			g.Expect(err).NotTo(HaveOccurred(), name)
+		} else {
+			g.Expect(err).To(MatchError(cause), name)
+		}
+		close(release)
+		cancel(nil)
+	}
+}
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -20,6 +20,7 @@
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
 	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/modules/sleeper"
+	"github.com/bluebelldyke/bluebelldyke/modules/supervisor"
 	"github.com/bluebelldyke/bluebelldyke/services/estimator"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
@@ -269,12 +270,12 @@
 	group, ctx := errgroup.WithContext(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
 	defer stop()
-	group.Go(func() error { return t.runTicks(ctx) })
-	group.Go(func() error { return t.runReleases(ctx) })
+	group.Go(supervisor.Guard(ctx, func() error { return t.runTicks(ctx) }))
+	group.Go(supervisor.Guard(ctx, func() error { return t.runReleases(ctx) }))
 	if t.queue != nil {
-		group.Go(func() error { return t.handleQueued(ctx) })
+		group.Go(supervisor.Guard(ctx, func() error { return t.handleQueued(ctx) }))
 	}
-	group.Go(func() error {
+	group.Go(supervisor.Guard(ctx, func() error {
 		if t.queue == nil {
 			select {
 			case <-ctx.Done():
@@ -283,7 +284,7 @@
 			}
 		}
 		return t.forward(ctx)
-	})
+	}))
 	return group.Wait()
 }
 
--- a/routers/operator/server.go
+++ b/routers/operator/server.go
@@ -97,7 +97,14 @@
 	}
 }
 
-func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+// handle answers a query. A panic is the answer of that query only.
+func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (_ any, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			s.c.Logger.Error("query of an operator failed", zap.String("method", r.Method), zap.Any("panic", v), zap.Stack("stack"))
+			err = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: fmt.Sprintf("the daemon could not answer %s: see its log", r.Method)}
+		}
+	}()
 	switch r.Method {
 	case methodStatus:
 		return statusToWire(s.c.Status.Status()), nil
--- a/routers/peers/peers.go
+++ b/routers/peers/peers.go
@@ -19,6 +19,7 @@
 
 	"github.com/bluebelldyke/bluebelldyke/modules/packer"
 	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
+	"github.com/bluebelldyke/bluebelldyke/modules/supervisor"
 	"github.com/bluebelldyke/bluebelldyke/services/gossiper"
 )
 
@@ -170,8 +171,8 @@
 		<-ctx.Done()
 		return p.conn.Close()
 	})
-	g.Go(func() error { return p.runReads(ctx) })
-	g.Go(func() error { return p.runTicks(ctx) })
+	g.Go(supervisor.Guard(ctx, func() error { return p.runReads(ctx) }))
+	g.Go(supervisor.Guard(ctx, func() error { return p.runTicks(ctx) }))
 	return g.Wait()
 }
 
--- a/tests/integration/ends_test.go
+++ b/tests/integration/ends_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/netip"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -179,6 +181,23 @@
 		Expect(readEnd(daemon).Error).To(ContainSubstring("correct the TOML syntax"))
 	})
 
+	// Guards against a process that does not end because nothing reads its output.
+	It("does not wait for a blocked output", func() {
+		reader, writer, err := os.Pipe()
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = reader.Close() }()
+		Expect(writer.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+		_, err = writer.Write(make([]byte, 1<<20))
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded), "the pipe is full")
+		command := exec.Command(filepath.Join(binaries, "bluebelldyke"), "direct", "--config", filepath.Join(GinkgoT().TempDir(), "absent.toml"))
+		command.Stdout, command.Stderr = writer, writer
+		Expect(command.Start()).To(Succeed())
+		Expect(writer.Close()).To(Succeed())
+		deadline := time.AfterFunc(stepTimeout, func() { _ = command.Process.Kill() })
+		defer deadline.Stop()
+		Expect(command.Wait()).To(MatchError("exit status 2"))
+	})
+
 	// Guards against a process that ends because its predecessor, which drains, still holds the addresses.
 	It("is not an address that the draining predecessor holds", func() {
 		d := startDeployment()
