signaler: a log output without a reader doesn't end a daemon

What was seen: a daemon whose standard output is a pipe ends by SIGPIPE (status 141) at its next log line after the reader of the pipe is gone. Cause: the Go runtime raises SIGPIPE for a failed write to descriptor 1 or 2 unless the program handles or ignores the signal. A parent that ignores SIGPIPE hides this, as the process inherits that.

--- a/modules/signaler/signaler.go
+++ b/modules/signaler/signaler.go
@@ -26,10 +26,11 @@
 func catch() chan os.Signal {
 	signals := make(chan os.Signal, capacity)
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGPIPE) // otherwise the Go runtime ends the process when the reader of its standard output is gone
 	return signals
 }
 
-// Signals returns the channel of SIGHUP, SIGTERM and SIGINT, whose default actions are off from then on. It has the signals since the start
+// Signals returns the channel of SIGHUP, SIGTERM and SIGINT, whose default actions are off from then on, as is that of SIGPIPE. It has the signals since the start
 // of a process whose first argument is the subcommand of a daemon.
 func Signals() <-chan os.Signal {
 	if early == nil {
--- a/tests/integration/ends_test.go
+++ b/tests/integration/ends_test.go
@@ -198,6 +198,32 @@
 		Expect(command.Wait()).To(MatchError("exit status 2"))
 	})
 
+	// Guards against a process that ends because the reader of its log is gone.
+	It("is not a log output without a reader", func() {
+		d := startDeployment()
+		old := d.Daemons[0]
+		old.Terminate()
+		expectEnd(old, deployment.GracePeriod, 0, "terminated")
+		reader, writer, err := os.Pipe()
+		Expect(err).NotTo(HaveOccurred())
+		command := exec.Command(filepath.Join(binaries, "bluebelldyke"), "direct", "--config", old.SettingsFile())
+		command.Stdout, command.Stderr = writer, writer
+		Expect(command.Start()).To(Succeed())
+		Expect(writer.Close()).To(Succeed())
+		deadline := time.AfterFunc(stepTimeout, func() { _ = command.Process.Kill() })
+		defer deadline.Stop()
+		_, err = reader.Read(make([]byte, 1)) // the daemon has started
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reader.Close()).To(Succeed())
+		Expect(d.WaitReady(len(d.Daemons))).To(Succeed())
+		for range 3 {
+			Expect(command.Process.Signal(syscall.SIGHUP)).To(Succeed()) // each one writes a line
+			sleep(50 * time.Millisecond)
+		}
+		Expect(command.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Expect(command.Wait()).To(Succeed())
+	})
+
 	// Guards against a process that ends because its predecessor, which drains, still holds the addresses.
 	It("is not an address that the draining predecessor holds", func() {
 		d := startDeployment()
