routers/relayer: contain panics of documents and queries of peers

A panic at one document or one query of a peer ended the balancer, and all balancers of the fleet alike, because each parses the same documents. None is known: 17 odd documents each (TestInvalidDocument) and the fuzz targets of the parsers find no panic.

Change: a document whose parsing panics counts as invalid, a view that cannot be built leaves the former one in force, a query gets an error. The detail of a log line has at most 4 KB; a document can have any number of problems, and one of 8 MB wrote a line of that order.

--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -159,11 +159,12 @@
 
 func newRelayer(
 	s configurer.Settings, p process, sockets peerSockets, members *peers.Peers, audit *auditor.Auditor, logger *zap.Logger, meter metric.Meter,
+	recoverer *recoverer.Recoverer,
 ) (*relayer.Relayer, error) {
 	r, err := relayer.New(relayer.Config{
 		PlatformURL: s.Platform.URL, AvailabilityZone: s.AvailabilityZone, Self: members.Address(), Listener: sockets.tcp, Seeds: s.Peer.Seeds, Members: members,
 		Audit: auditSink{audit}, Logger: logger, Meter: meter, Random: p.newRandom(), Key: s.Peer.Key,
-		Dial: dialFrom(s.Peer.Bind.Addr()),
+		Dial: dialFrom(s.Peer.Bind.Addr()), Recoverer: recoverer,
 	})
 	if err != nil {
 		return nil, err
--- a/routers/relayer/combine.go
+++ b/routers/relayer/combine.go
@@ -11,6 +11,7 @@
 
 	"github.com/bluebelldyke/bluebelldyke/models/fleet"
 	"github.com/bluebelldyke/bluebelldyke/models/settings"
+	"github.com/bluebelldyke/bluebelldyke/models/view"
 	"github.com/bluebelldyke/bluebelldyke/services/reviser"
 )
 
@@ -188,8 +189,10 @@
 	if !r.canPublish.Load() {
 		return nil
 	}
-	v, conflicts := r.combiner.View()
-	if v == nil {
+	var v *view.View
+	var conflicts []settings.Conflict
+	// After a panic the former view stays in force, until a later revision of a document.
+	if !r.cfg.Recoverer.Do("view", 0, func() { v, conflicts = r.combiner.View() }) || v == nil {
 		return nil
 	}
 	select {
--- a/routers/relayer/documents.go
+++ b/routers/relayer/documents.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/bluebelldyke/bluebelldyke/models/settings"
@@ -17,6 +19,9 @@
 // zone; the other members learn of the revision from heartbeats.
 const notifyFanOut = 4
 
+// errParseFailed is the problem of a document that cannot be parsed because of a fault of this daemon.
+var errParseFailed = eris.New("internal error: publish another revision, and report the log line of the panic")
+
 // document is the state of one document, with the peers from which newer revisions can be pulled.
 type document struct {
 	name string
@@ -102,7 +107,7 @@
 	needsValidation := d.reviser.NeedsValidation(o)
 	d.mu.Unlock()
 	if needsValidation {
-		parsed, validationErr = d.parse(o.Revision, o.Content)
+		parsed, validationErr = r.parse(d, o)
 	}
 	d.mu.Lock()
 	decision := d.reviser.Decide(time.Now(), o, func(uint64, []byte) error { return validationErr })
@@ -118,6 +123,25 @@
 	return decision, nil
 }
 
+// parse parses the content of an offer. A panic counts as invalid content, so that the revision in force stays.
+func (r *Relayer) parse(d *document, o reviser.Offer) (parsed any, err error) {
+	if !r.cfg.Recoverer.Do("document", len(o.Content), func() { parsed, err = d.parse(o.Revision, o.Content) }) {
+		return nil, errParseFailed
+	}
+	return parsed, err
+}
+
+// maxDetailBytes limits the detail of a log line, because a document can have any number of problems.
+const maxDetailBytes = 4096
+
+// shorten returns the text with at most maxDetailBytes.
+func shorten(text string) string {
+	if len(text) <= maxDetailBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxDetailBytes], "") + "…"
+}
+
 // record writes an entry to the audit trail and the log.
 func (r *Relayer) record(e AuditEntry) {
 	if r.cfg.Audit != nil {
@@ -125,7 +149,7 @@
 	}
 	fields := []zap.Field{
 		zap.String("document", e.Document), zap.Uint64("revision", e.Revision), zap.Uint64("held", e.RevisionInForce),
-		zap.String("source", e.Source), zap.String("cause", string(e.Cause)), zap.String("detail", e.Detail),
+		zap.String("source", e.Source), zap.String("cause", string(e.Cause)), zap.String("detail", shorten(e.Detail)),
 	}
 	switch e.Outcome {
 	case reviser.Rejected:
--- a/routers/relayer/exchange.go
+++ b/routers/relayer/exchange.go
@@ -107,7 +107,14 @@
 	}
 }
 
-func (r *Relayer) handle(_ context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+func (r *Relayer) handle(_ context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (result any, err error) {
+	if !r.cfg.Recoverer.Do("peer-query", 0, func() { result, err = r.answer(request) }) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "internal error: ask another peer"}
+	}
+	return result, err
+}
+
+func (r *Relayer) answer(request *jsonrpc2.Request) (any, error) {
 	if request.Params == nil {
 		return nil, invalidParams("params are missing: send name")
 	}
--- a/routers/relayer/relayer.go
+++ b/routers/relayer/relayer.go
@@ -23,6 +23,7 @@
 	"github.com/bluebelldyke/bluebelldyke/models/settings"
 	"github.com/bluebelldyke/bluebelldyke/models/view"
 	"github.com/bluebelldyke/bluebelldyke/modules/fetcher"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/services/reviser"
 )
 
@@ -97,6 +98,8 @@
 	// PollInterval, LongPollTimeout and WatchersPerZone are optional; 0 means the default.
 	PollInterval, LongPollTimeout time.Duration
 	WatchersPerZone               int
+	// Recoverer contains the panics of single documents and queries of peers; nil contains none.
+	Recoverer *recoverer.Recoverer
 	// Dial opens the TCP connections to peers; nil means with a net.Dialer.
 	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 }
