routers/checker: contain panics of single checks, bound the header of a response

A panic at one health check, or at a change of the members, would end the balancer; none is known. The header of a health response was limited to 10 MB by the HTTP library, so that 64 checks in progress could take more than twice the memory of a small VM.

Change: each check and each step of the schedule is contained; a header has at most 4 KB, like the body.

The memory was not measured.

--- a/routers/checker/checker.go
+++ b/routers/checker/checker.go
@@ -20,6 +20,7 @@
 
 	"github.com/bluebelldyke/bluebelldyke/models/settings"
 	"github.com/bluebelldyke/bluebelldyke/modules/packer"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/modules/ring"
 	"github.com/bluebelldyke/bluebelldyke/services/examiner"
 )
@@ -70,6 +71,8 @@
 	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	// Meter is where metrics are registered; nil means that there are none.
 	Meter metric.Meter
+	// Recoverer contains the panics of single checks; nil contains none.
+	Recoverer *recoverer.Recoverer
 }
 
 // Checker checks the backend servers that are assigned to this daemon, and combines the results with the health reports of other
@@ -78,6 +81,7 @@
 	healthUpdates *ring.Ring[examiner.HealthUpdate]
 	members       Members
 	client        *http.Client
+	recoverer     *recoverer.Recoverer
 
 	mu       sync.Mutex
 	examiner *examiner.Examiner
@@ -86,7 +90,7 @@
 
 // New returns a Checker without backend servers.
 func New(c Config) (*Checker, error) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxBodySize}
 	if c.Dial != nil {
 		transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
 			to, err := netip.ParseAddrPort(address)
@@ -97,7 +101,7 @@
 		}
 	}
 	checker := &Checker{
-		healthUpdates: c.HealthUpdates, members: c.Members, client: &http.Client{Transport: transport},
+		healthUpdates: c.HealthUpdates, members: c.Members, client: &http.Client{Transport: transport}, recoverer: c.Recoverer,
 		examiner: examiner.New(examiner.Config{
 			Self: c.Self, AvailabilityZone: c.AvailabilityZone, Incarnation: c.Incarnation, Random: c.Random,
 		}),
@@ -166,34 +170,47 @@
 		case now := <-ticker.C:
 			if now.Sub(refreshed) >= membersRefreshInterval {
 				refreshed = now
-				members := c.members.Checkers() // without the lock: package peers calls Reports with its own lock held, so the reverse order could deadlock
-				c.mu.Lock()
-				c.examiner.SetMembers(now, members)
-				c.mu.Unlock()
+				c.recoverer.Do("checkers", 0, func() { c.setMembers(now) })
 			}
-			c.poll(ctx, now, group)
+			c.recoverer.Do("health-poll", 0, func() { c.poll(ctx, now, group) })
 		}
 	}
 }
 
+func (c *Checker) setMembers(now time.Time) {
+	members := c.members.Checkers() // without the lock: package peers calls Reports with its own lock held, so the reverse order could deadlock
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.examiner.SetMembers(now, members)
+}
+
 // poll starts a check if one is due, and passes on new health updates.
 func (c *Checker) poll(ctx context.Context, now time.Time, group *errgroup.Group) {
+	server, due, updates := c.next(now)
+	if due {
+		group.TryGo(func() error {
+			c.recoverer.Do("health-check", 0, func() { c.check(ctx, server) })
+			return nil
+		})
+	}
+	for _, u := range updates {
+		c.healthUpdates.TryPush(u)
+	}
+}
+
+// next returns the backend server to check now, if one is due, and the new health updates.
+func (c *Checker) next(now time.Time) (server settings.BackendServer, due bool, updates []examiner.HealthUpdate) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	address, due := c.examiner.NextCheck(now)
-	var server settings.BackendServer
 	if due {
 		// A linear search is fast enough for a few checks a second. An index would take megabytes for a large fleet.
 		i := slices.IndexFunc(c.servers, func(s settings.BackendServer) bool { return s.Address == address })
-		server = c.servers[i]
-	}
-	updates := c.examiner.HealthUpdates(now)
-	c.mu.Unlock()
-	if due {
-		group.TryGo(func() error { c.check(ctx, server); return nil })
-	}
-	for _, u := range updates {
-		c.healthUpdates.TryPush(u)
+		if due = i >= 0; due {
+			server = c.servers[i]
+		}
 	}
+	return server, due, c.examiner.HealthUpdates(now)
 }
 
 func (c *Checker) check(ctx context.Context, s settings.BackendServer) {
--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -226,11 +226,12 @@
 }
 
 func newChecker(
-	s configurer.Settings, p process, r rings, members *peers.Peers, meter metric.Meter,
+	s configurer.Settings, p process, r rings, members *peers.Peers, meter metric.Meter, recoverer *recoverer.Recoverer,
 ) (*checker.Checker, error) {
 	c, err := checker.New(checker.Config{
 		Self: members.Address(), AvailabilityZone: s.AvailabilityZone, Incarnation: p.incarnation, Members: members,
 		Random: p.newRandom(), HealthUpdates: r.healthUpdates, Dial: dialFrom(localAddress(s.Entry).Addr()), Meter: meter,
+		Recoverer: recoverer,
 	})
 	if err != nil {
 		return nil, err
