services/scheduler: expected waits are the same on all processors

The expected wait of a request is computed in floating-point numbers. With service times near the largest request-timeout and load reports of 65,535 requests, also of neighbors on the VM, it can exceed 2^63 ns; Go leaves the result of such a conversion to the processor: the largest number on arm64, the smallest on amd64, where the backend server with the longest queue would look like the one with the shortest.

Change: such waits are bounded.

Measured: TestSaturate passes on arm64. It was not run on amd64; go vet compiles for it.

--- a/services/scheduler/admission.go
+++ b/services/scheduler/admission.go
@@ -247,7 +247,7 @@
 	inFlight, slots := b.ownInFlight()+s.recentOthers(now, b)+1, float64(b.Slots)
 	running := min(inFlight, slots) + b.runningAtNeighbors(now)
 	rounds := max(1, inFlight/slots) * max(1, running/slots)
-	return time.Duration((rounds - 1) * float64(s.currentServiceTime()))
+	return saturate((rounds - 1) * float64(s.currentServiceTime()))
 }
 
 // recentOthers estimates the requests of other balancers at a backend server from its last report, which is out of date after
--- a/services/scheduler/estimate.go
+++ b/services/scheduler/estimate.go
@@ -213,7 +213,7 @@
 	if queuedRounds <= 0 {
 		return 0
 	}
-	return time.Duration(queuedRounds * b.relativeServiceTime * float64(medianServiceTime))
+	return saturate(queuedRounds * b.relativeServiceTime * float64(medianServiceTime))
 }
 
 // rememberReportBeforeSend stores the reported load that checkOverreporting compares with the answer to the request sent
