cmd: serve waits up to 2 s for valid process settings

Operators saw a balancer end with 2 when its settings file was missing or incomplete at the moment of its start, although it was completed shortly after.

--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -229,6 +229,21 @@
 	g.Expect(group.Wait()).To(Succeed())
 }
 
+// TestLateSettings guards against a daemon that ends because its settings file is incomplete at the moment of the start.
+func TestLateSettings(t *testing.T) {
+	g := NewWithT(t)
+	config := writeConfig(t, "127.0.0.1:0")
+	content, err := os.ReadFile(config)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(os.WriteFile(config, content[:len(content)/2], 0o600)).To(Succeed())
+	time.AfterFunc(300*time.Millisecond, func() { _ = os.WriteFile(config, content, 0o600) })
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	code, _, errOut := run(ctx, "serve", "--config", config)
+	g.Expect(code).To(Equal(0), errOut)
+	g.Expect(ctx.Err()).To(HaveOccurred(), "it ran until it was stopped")
+}
+
 func writeConfig(t *testing.T, operator string) string {
 	file := filepath.Join(t.TempDir(), "app.toml")
 	content := fmt.Sprintf(`
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -23,14 +24,41 @@
 	flags := newSubcommand("serve", "Run a daemon until SIGTERM or SIGINT; a second SIGINT ends it immediately.", "serve --config "+defaultConfigFile)
 	flags.String(&config, "c", "config", "File with the process settings.")
 	return &command{flags: flags, run: func(ctx context.Context, _ io.Writer) error {
-		s, err := configurer.Load(config)
-		if err != nil {
-			return err
-		}
-		return addBindRemedy(config, runUntilStopped(ctx, signaler.Signals(), func(ctx context.Context) error { return daemon.Run(ctx, s) }))
+		return addBindRemedy(config, runUntilStopped(ctx, signaler.Signals(), func(ctx context.Context) error {
+			s, err := awaitSettings(ctx, config)
+			if ctx.Err() != nil {
+				return nil
+			}
+			if err != nil {
+				return err
+			}
+			return daemon.Run(ctx, s)
+		}))
 	}}
 }
 
+const (
+	// settingsWait is how long a starting daemon waits for valid settings: the file may be about to be written.
+	settingsWait = 2 * time.Second
+	// settingsRetryInterval is the interval at which it reads the file meanwhile.
+	settingsRetryInterval = 50 * time.Millisecond
+)
+
+// awaitSettings reads the settings file. A file that is missing or invalid is read again for settingsWait.
+func awaitSettings(ctx context.Context, file string) (configurer.Settings, error) {
+	for deadline := time.Now().Add(settingsWait); ; {
+		s, err := configurer.Load(file)
+		if err == nil || !time.Now().Before(deadline) {
+			return s, err
+		}
+		select {
+		case <-ctx.Done():
+			return s, err
+		case <-time.After(settingsRetryInterval):
+		}
+	}
+}
+
 // runUntilStopped runs a daemon whose shutdown begins at the first stop signal. It does not wait for the daemon after a second SIGINT.
 func runUntilStopped(ctx context.Context, received <-chan os.Signal, run func(context.Context) error) error {
 	signals := stopper.New(ctx, received)
