runner: a second SIGINT doesn't wait for parts of the daemon

Since repeated SIGTERMs no longer end a process, a second SIGINT is the only signal but SIGKILL that does. direct still waited for the read of the settings and for all components, so that one that never returns kept the process: ended such a process by the default action. serve did not wait already.

Change: Run returns at the second SIGINT whatever the rest does. The encoder of the last line is guarded, because configure may still run.

--- a/internal/direct/runner/process.go
+++ b/internal/direct/runner/process.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -60,18 +61,28 @@
 // settingsContent is the content of the settings file that is in force.
 type settingsContent []byte
 
-// Run runs a daemon until a signal or the end of ctx stops it and it has drained, or until a component fails.
+// Run runs a daemon until a signal or the end of ctx stops it and it has drained, or until a component fails. It does not wait for the daemon
+// after a second SIGINT.
 func Run(ctx context.Context, c Config) error {
 	log := startLog()
 	signals := stopper.New(ctx, c.Signals)
 	signals.SetLogger(log.logger)
 	signalsCtx, endSignals := context.WithCancel(context.WithoutCancel(ctx))
+	defer endSignals()
 	var group errgroup.Group
 	group.Go(func() error { return signals.Run(signalsCtx) })
-	err := start(c, log, signals)
+	ended := make(chan error, 1)
+	group.Go(func() error {
+		ended <- start(c, log, signals)
+		return nil
+	})
+	var err error
+	select {
+	case err = <-ended:
+	case <-signals.Aborting().Done():
+		err = eris.Wrap(context.Cause(signals.Aborting()), "the shutdown was cut short")
+	}
 	logged := log.end(c, signals, err)
-	endSignals()
-	_ = group.Wait() // it returns no error
 	if err != nil && logged {
 		return &ErrLogged{err}
 	}
@@ -167,9 +178,11 @@
 	spooler *spooler.Spooler
 	logger  *zap.Logger
 	level   zap.AtomicLevel
-	encoder zapcore.Encoder
 	cancel  context.CancelFunc
 	ended   chan struct{}
+
+	mu      sync.Mutex // a process that ends at once does not wait for configure
+	encoder zapcore.Encoder
 }
 
 // startLog starts the log with the default settings.
@@ -193,6 +206,8 @@
 		return eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
 	}
 	l.level.SetLevel(level)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if s.Log.Format == "text" {
 		l.encoder = zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
 	}
@@ -207,7 +222,9 @@
 	if err == nil {
 		cause = context.Cause(signals.Stopping()).Error() // run ends only by an error or a stop
 	}
+	l.mu.Lock()
 	logger := zap.New(zapcore.NewCore(l.encoder, l.spooler.LastLine(), zapcore.DebugLevel))
+	l.mu.Unlock()
 	logger.Info("daemon ends", zap.String("cause", cause), zap.Int("exit-status", c.ExitStatus(err)), zap.Error(err))
 	l.cancel()
 	select {
