daemon: a stop during the start of serve is no failure

serve ended with status 1 and 'context canceled' if SIGTERM or SIGINT arrived before its components were assembled. Since signals are caught from the first moment, each early signal takes this path; supervisors saw a failed process where a stop was asked for. direct ends with 0.

Change: a start that the context has cancelled ends like a stop that was asked for.

--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -66,7 +66,9 @@
 	if err := app.Err(); err != nil {
 		return dig.RootCause(err)
 	}
-	if err := app.Start(ctx); err != nil {
+	if err := app.Start(ctx); ctx.Err() != nil {
+		return app.Stop(context.WithoutCancel(ctx)) // nothing is served yet
+	} else if err != nil {
 		return dig.RootCause(err)
 	}
 	err := t.run(ctx)
