cmd: test that serve names the remedy for an address in use

The case of TestErrors for a held operator address went with the wait for that address, and with it the only test of the exit code and the remedy of serve for the addresses that still end it: peer and metrics. docs/operators.md no longer said that serve ends with 1 then.

--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -240,6 +240,35 @@
 	g.Expect(code).To(BeZero(), errOut)
 }
 
+// TestServeAddressInUse guards against a held address that ends a daemon with a wrong exit code or without a remedy.
+func TestServeAddressInUse(t *testing.T) {
+	peer, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = peer.Close() }()
+	metrics, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = metrics.Close() }()
+	for free, held := range map[string]string{
+		`peer = { bind = "127.0.0.1:0"`: fmt.Sprintf(`peer = { bind = %q`, peer.LocalAddr()),
+		`metrics.bind = "127.0.0.1:0"`:  fmt.Sprintf(`metrics.bind = %q`, metrics.Addr()),
+	} {
+		g := NewWithT(t)
+		file := writeConfig(t, "127.0.0.1:0")
+		content, err := os.ReadFile(file)
+		g.Expect(err).NotTo(HaveOccurred())
+		changed := strings.Replace(string(content), free, held, 1)
+		g.Expect(changed).NotTo(Equal(string(content)))
+		g.Expect(os.WriteFile(file, []byte(changed), 0o600)).To(Succeed())
+		code, _, errOut := run(t.Context(), "serve", "--config", file)
+		g.Expect(code).To(Equal(1), errOut)
+		g.Expect(errOut).To(ContainSubstring("address in use: end the process that uses it or change the address"))
+	}
+}
+
 func writeConfig(t *testing.T, operator string) string {
 	file := filepath.Join(t.TempDir(), "app.toml")
 	content := fmt.Sprintf(`
