operator: a query whose answer panics ends the daemon

The library that serves the operator address calls the handler in a goroutine of its own, beyond the boundaries that contain panics: a panic in the answer to status or audit ended the daemon with all of its flows. Found by reading; no such panic is known.

Change: the handler is a boundary ('query') with an error as its answer. serve has no Recoverer yet and is unchanged.

--- a/internal/direct/runner/operator.go
+++ b/internal/direct/runner/operator.go
@@ -7,6 +7,7 @@
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/loader"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/summarizer"
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/routers/operator"
 	"github.com/bluebelldyke/bluebelldyke/routers/peers"
 	"github.com/bluebelldyke/bluebelldyke/services/auditor"
@@ -35,9 +36,9 @@
 }
 
 // newOperator returns the server of the operator address, nil if the settings name none.
-func newOperator(s loader.Settings, summary *summarizer.Summarizer, logger *zap.Logger) *operator.Server {
+func newOperator(s loader.Settings, summary *summarizer.Summarizer, logger *zap.Logger, contains *recoverer.Recoverer) *operator.Server {
 	if !s.OperatorBind.IsValid() {
 		return nil
 	}
-	return operator.New(operator.Config{Bind: s.OperatorBind, Status: summary, Audit: summary, Logger: logger})
+	return operator.New(operator.Config{Bind: s.OperatorBind, Status: summary, Audit: summary, Logger: logger, Recoverer: contains})
 }
--- a/routers/operator/server.go
+++ b/routers/operator/server.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebelldyke/bluebelldyke/modules/binder"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/services/auditor"
 )
 
@@ -31,6 +32,8 @@
 	Status StatusSource
 	Audit  AuditSource
 	Logger *zap.Logger
+	// Recoverer contains panics; nil contains none.
+	Recoverer *recoverer.Recoverer
 }
 
 // Server answers queries at the operator address.
@@ -97,7 +100,15 @@
 	}
 }
 
-func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+// handle answers a query. After a panic the answer is an error.
+func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (result any, err error) {
+	if !s.c.Recoverer.Do("query", 0, func() { result, err = s.answer(r) }) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "internal error: see the log of the daemon"}
+	}
+	return result, err
+}
+
+func (s *Server) answer(r *jsonrpc2.Request) (any, error) {
 	switch r.Method {
 	case methodStatus:
 		return statusToWire(s.c.Status.Status()), nil
