runner: of two processes that waited for an address, peers may ignore the one that serves

The incarnation of a daemon was the start of its process. Since a process waits for addresses that another one holds, two of them can wait at the same time, as with a supervisor that starts successors without waiting, and the one that started first may get the addresses last. Peers know a higher incarnation at its address by then and ignore it until their tombstone expires (10 minutes): it serves, but gets no messages and does not count as a member. Before the wait, the older process would have ended.

Change: the incarnation is the time at which the process had bound its addresses. It is logged with 'daemon is ready' instead of 'daemon starts'.

--- a/internal/direct/runner/process.go
+++ b/internal/direct/runner/process.go
@@ -35,12 +35,11 @@
 type process struct {
 	version     string
 	startedAt   time.Time
-	incarnation uint64 // start time in Unix ms
+	incarnation uint64 // when the addresses were bound, in Unix ms
 }
 
 func newProcess(c Config) process {
-	now := time.Now()
-	return process{version: c.Version, startedAt: now, incarnation: uint64(now.UnixMilli())}
+	return process{version: c.Version, startedAt: time.Now()}
 }
 
 // ErrLogged is an error that the last line of the log states.
@@ -104,7 +103,7 @@
 	}
 	signals.SetLogger(log.logger)
 	log.logger.Info("daemon starts", zap.String("vm", settings.VMName), zap.String("availability-zone", settings.AvailabilityZone),
-		zap.Int("process", os.Getpid()), zap.Uint64("incarnation", p.incarnation), zap.String("version", p.version))
+		zap.Int("process", os.Getpid()), zap.String("version", p.version))
 	logAdjustments(log.logger, settings)
 	source, err := c.NewSource(settings)
 	if err != nil {
@@ -117,6 +116,7 @@
 	if err != nil {
 		return err
 	}
+	p.incarnation = uint64(bound.at.UnixMilli())
 	var assembled components
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -263,7 +263,7 @@
 		case <-c.Transporter.Ready():
 			c.Responder.SetReady(true)
 			c.Summarizer.SetState(operator.Serving)
-			c.Logger.Info("daemon is ready")
+			c.Logger.Info("daemon is ready", zap.Uint64("incarnation", c.Process.incarnation))
 			debug.SetGCPercent(heapGrowth)
 		}
 		return nil
--- a/internal/direct/runner/sockets.go
+++ b/internal/direct/runner/sockets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -17,6 +18,7 @@
 	entry     *binder.Socket
 	readiness net.Listener
 	peer      *binder.Socket
+	at        time.Time // when the last one was bound: of two processes that waited, the later one at the addresses has the later time
 }
 
 // bind binds the addresses one after the other, the entry first, and waits for those that another process holds. Of two daemons with the
@@ -34,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &sockets{entry, readiness, peer}, nil
+	return &sockets{entry: entry, readiness: readiness, peer: peer, at: time.Now()}, nil
 }
 
 func (s *sockets) provide() (transporter.Conn, net.Listener, peers.Conn) {
