--- a/internal/direct/runner/process.go
+++ b/internal/direct/runner/process.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -36,12 +37,11 @@
 type process struct {
 	version     string
 	startedAt   time.Time
-	incarnation uint64 // start time in Unix ms
+	incarnation uint64 // when the addresses were bound, in Unix ms
 }
 
 func newProcess(c Config) process {
-	now := time.Now()
-	return process{version: c.Version, startedAt: now, incarnation: uint64(now.UnixMilli())}
+	return process{version: c.Version, startedAt: time.Now()}
 }
 
 // ErrLogged is an error that the last line of the log states.
@@ -62,18 +62,28 @@
 // settingsContent is the content of the settings file that is in force.
 type settingsContent []byte
 
-// Run runs a daemon until a signal or the end of ctx stops it and it has drained, or until a component fails.
+// Run runs a daemon until a signal or the end of ctx stops it and it has drained, or until a component fails. It does not wait for the daemon
+// after a second SIGINT.
 func Run(ctx context.Context, c Config) error {
 	log := startLog()
 	signals := stopper.New(ctx, c.Signals)
 	signals.SetLogger(log.logger)
 	signalsCtx, endSignals := context.WithCancel(context.WithoutCancel(ctx))
+	defer endSignals()
 	var group errgroup.Group
 	group.Go(func() error { return signals.Run(signalsCtx) })
-	err := start(c, log, signals)
+	ended := make(chan error, 1)
+	group.Go(func() error {
+		ended <- start(c, log, signals)
+		return nil
+	})
+	var err error
+	select {
+	case err = <-ended:
+	case <-signals.Aborting().Done():
+		err = eris.Wrap(context.Cause(signals.Aborting()), "the shutdown was cut short")
+	}
 	logged := log.end(c, signals, err)
-	endSignals()
-	_ = group.Wait() // it returns no error
 	if err != nil && logged {
 		return &ErrLogged{err}
 	}
@@ -95,7 +105,7 @@
 	}
 	signals.SetLogger(log.logger)
 	log.logger.Info("daemon starts", zap.String("vm", settings.VMName), zap.String("availability-zone", settings.AvailabilityZone),
-		zap.Int("process", os.Getpid()), zap.Uint64("incarnation", p.incarnation), zap.String("version", p.version))
+		zap.Int("process", os.Getpid()), zap.String("version", p.version))
 	logAdjustments(log.logger, settings)
 	source, err := c.NewSource(settings)
 	if err != nil {
@@ -108,6 +118,7 @@
 	if err != nil {
 		return err
 	}
+	p.incarnation = uint64(bound.at.UnixMilli())
 	var assembled components
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -169,9 +180,11 @@
 	spooler *spooler.Spooler
 	logger  *zap.Logger
 	level   zap.AtomicLevel
-	encoder zapcore.Encoder
 	cancel  context.CancelFunc
 	ended   chan struct{}
+
+	mu      sync.Mutex // a process that ends at once does not wait for configure
+	encoder zapcore.Encoder
 }
 
 // startLog starts the log with the default settings.
@@ -195,6 +208,8 @@
 		return eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
 	}
 	l.level.SetLevel(level)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if s.Log.Format == "text" {
 		l.encoder = zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
 	}
@@ -209,7 +224,9 @@
 	if err == nil {
 		cause = context.Cause(signals.Stopping()).Error() // run ends only by an error or a stop
 	}
+	l.mu.Lock()
 	logger := zap.New(zapcore.NewCore(l.encoder, l.spooler.LastLine(), zapcore.DebugLevel))
+	l.mu.Unlock()
 	fields := []zap.Field{zap.String("cause", cause), zap.Int("exit-status", c.ExitStatus(err)), zap.Error(err)}
 	var p *supervisor.ErrPanic
 	if eris.As(err, &p) {
