--- a/internal/direct/follower/calls_test.go
+++ b/internal/direct/follower/calls_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -60,7 +61,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		d.Follower = follower
-		f.daemons = append(f.daemons, d)
+		f.setDaemons(append(slices.Clone(f.daemons), d))
 		d.setPartitioned(true) // its peers do not know it yet
 		group, ctx := errgroup.WithContext(ctx)
 		group.Go(func() error { return follower.Run(ctx) })
--- a/internal/direct/follower/evacuation_test.go
+++ b/internal/direct/follower/evacuation_test.go
@@ -266,7 +266,7 @@
 		}
 		d.Follower.mu.Unlock()
 		time.Sleep(1500 * time.Millisecond)
-		f.daemons = f.daemons[:1]
+		f.setDaemons(f.daemons[:1])
 		f.expectEvacuated(t, "mahebourg")
 		time.Sleep(time.Second)
 		f.expectEvacuated(t)
--- a/internal/direct/follower/fleet_test.go
+++ b/internal/direct/follower/fleet_test.go
@@ -324,7 +324,7 @@
 
 func (d *daemon) Members() []packer.Member {
 	var list []packer.Member
-	for _, o := range d.fleet.daemons {
+	for _, o := range d.fleet.list() {
 		if o != d && !o.isPartitioned() && !d.isPartitioned() {
 			list = append(list, packer.Member{Address: o.address, AvailabilityZone: o.zone, KnowsEras: !o.legacy.Load() && !d.legacy.Load(), KnowsEvacuations: !o.previous, Weak: o.weak})
 		}
@@ -368,7 +368,7 @@
 			d.fleet.requests.Add(1)
 		}
 	}
-	for _, o := range d.fleet.daemons {
+	for _, o := range d.fleet.list() {
 		if _, killed := d.fleet.killedAddresses.Load(to); killed {
 			break
 		}
@@ -403,6 +403,7 @@
 	t *testing.T
 	*fakePlatform
 	daemons         []*daemon
+	daemonsMu       sync.Mutex              // guards changes of daemons while they run
 	requests        atomic.Int64            // messages that request a whole document
 	transit         atomic.Pointer[transit] // of messages between daemons; nil: 4 ms, none lost
 	observe         func(*daemon, []byte)   // is called for each message that a daemon sends; may be nil
--- a/internal/direct/follower/follower_test.go
+++ b/internal/direct/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -89,7 +90,7 @@
 			c := peer.c
 			c.Source, c.Sink, c.Peers = d.source, process{d, 0}, d
 			d.Follower = New(c)
-			f.daemons = append(f.daemons, d)
+			f.setDaemons(append(slices.Clone(f.daemons), d))
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			group, ctx := errgroup.WithContext(ctx)
