--- a/routers/operator/faults_test.go
+++ b/routers/operator/faults_test.go
@@ -120,6 +120,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = client.Status(t.Context())
 	g.Expect(operator.IsErrInvalidReply(err)).To(BeTrue(), "%v", err)
+	g.Expect(contained.Panics("operator-query")).To(Equal(int64(1)))
 	expectStatus(t, server.Address())
 }
 
--- a/routers/operator/operator_test.go
+++ b/routers/operator/operator_test.go
@@ -9,11 +9,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.opentelemetry.io/otel/metric/noop"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/routers/operator"
 	"github.com/bluebelldyke/bluebelldyke/services/auditor"
 )
@@ -78,24 +76,6 @@
 	g.Expect(client.Audit(t.Context(), 1)).To(HaveLen(1))
 }
 
-// faultySource is a StatusSource that panics.
-type faultySource struct{ fakeSource }
-
-func (faultySource) Status() operator.Status { panic("no status") }
-
-// TestQueryThatPanics guards against a daemon that ends because the answer to a query causes a panic.
-func TestQueryThatPanics(t *testing.T) {
-	g := NewWithT(t)
-	r, err := recoverer.New(recoverer.Config{Logger: zap.NewNop(), Meter: noop.Meter{}})
-	g.Expect(err).NotTo(HaveOccurred())
-	f := newFakeSource()
-	client := startConfigured(t, operator.Config{Status: faultySource{f}, Audit: f, Recoverer: r})
-	_, err = client.Status(t.Context())
-	g.Expect(err).To(HaveOccurred())
-	g.Expect(client.Audit(t.Context(), 1)).To(HaveLen(1))
-	g.Expect(r.Panics("query")).To(Equal(int64(1)))
-}
-
 // TestAuditLimit guards against queries that request a reply of unlimited size.
 func TestAuditLimit(t *testing.T) {
 	_, err := startServer(t, newFakeSource()).Audit(t.Context(), operator.MaxAuditEntries+1)
