spooler: the cause of an end is stated nowhere if the output has no reader

direct states its error on the last line of the log and then leaves the standard error empty. A line whose write failed counted as stated, so that a process whose output had lost its reader ended without any cause.

--- a/internal/direct/runner/process.go
+++ b/internal/direct/runner/process.go
@@ -216,7 +216,7 @@
 }
 
 // end writes the last line of the process, whatever the log level is, and waits for the output for a limited time. It
-// returns false if nothing has read the line.
+// returns false if the line could not be written.
 func (l *logOutput) end(c Config, signals *stopper.Stopper, err error) bool {
 	cause := "failed"
 	if err == nil {
@@ -229,7 +229,7 @@
 	l.cancel()
 	select {
 	case <-l.ended:
-		return true
+		return l.spooler.LastWritten()
 	case <-time.After(outputEndLimit):
 		return false
 	}
--- a/modules/spooler/spooler.go
+++ b/modules/spooler/spooler.go
@@ -26,6 +26,7 @@
 	writeErrors atomic.Uint64
 	abandoned   atomic.Uint64 // queued lines that were not written at the end
 	last        atomic.Pointer[[]byte]
+	lastWritten atomic.Bool
 }
 
 // New returns a Spooler that writes to output while Run runs. Its capacity is in lines; 0 means DefaultCapacity.
@@ -58,6 +59,9 @@
 // Sync does nothing; Run writes the line.
 func (l *LastLine) Sync() error { return nil }
 
+// LastWritten reports whether Run has written the line of LastLine without an error.
+func (s *Spooler) LastWritten() bool { return s.lastWritten.Load() }
+
 // Sync implements zapcore.WriteSyncer. It does nothing; Run writes the lines.
 func (s *Spooler) Sync() error { return nil }
 
@@ -87,13 +91,15 @@
 		s.write(line)
 	}
 	if last := s.last.Load(); last != nil {
-		s.write(*last)
+		s.lastWritten.Store(s.write(*last))
 	}
 	return nil
 }
 
-func (s *Spooler) write(line []byte) {
+func (s *Spooler) write(line []byte) (ok bool) {
 	if _, err := s.output.Write(line); err != nil {
 		s.writeErrors.Add(1)
+		return false
 	}
+	return true
 }
--- a/modules/spooler/spooler_test.go
+++ b/modules/spooler/spooler_test.go
@@ -70,11 +70,25 @@
 	if err := s.Run(ctx); err != nil {
 		t.Error(err)
 	}
-	if got := out.String(); got != "line 0\nline 1\ncause\n" {
+	if got := out.String(); got != "line 0\nline 1\ncause\n" || !s.LastWritten() {
 		t.Errorf("%q", got)
 	}
 }
 
+// TestLastLineWithoutReader guards against a process that states the cause of its end nowhere, because it takes a line that could not be written
+// for one that was.
+func TestLastLineWithoutReader(t *testing.T) {
+	reader, writer := io.Pipe()
+	_ = reader.Close()
+	s := spooler.New(writer, 0)
+	fmt.Fprintln(s.LastLine(), "cause")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := s.Run(ctx); err != nil || s.LastWritten() {
+		t.Errorf("%v, written: %t", err, s.LastWritten())
+	}
+}
+
 func BenchmarkWrite(b *testing.B) {
 	s := spooler.New(io.Discard, 0)
 	line := bytes.Repeat([]byte("x"), 300)
