cmd: commands that run concurrently in one process don't race

Commands set a global variable of the flag library at each parse; two in one process, as in TestServeAndQuery, are a data race. A process of an operator runs one command.

Measured: go test -race ./cmd reported 'DATA RACE' at the parse before and none now (one run each).

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -11,6 +11,7 @@
 	"io"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -148,6 +149,9 @@
 	return nil, usageError("no subcommand: use one of %s, or --help", strings.Join(names, ", "))
 }
 
+// panicInsteadOfExit sets a global variable of flaggy, once, because commands can run concurrently in one process.
+var panicInsteadOfExit = sync.OnceFunc(func() { flaggy.PanicInsteadOfExit = true })
+
 // parseFlags sets the flags of the command that the arguments select. It returns the help if the arguments contain --help.
 //
 // By itself, flaggy prints help and errors and exits. captureHelp has it store them instead, and with PanicInsteadOfExit it panics,
@@ -166,7 +170,7 @@
 	if err := captureHelp(parser, &captured); err != nil {
 		return nil, err
 	}
-	flaggy.PanicInsteadOfExit = true
+	panicInsteadOfExit()
 	defer func() {
 		panicValue := recover()
 		switch {
