--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -149,7 +149,7 @@
 	return nil, usageError("no subcommand: use one of %s, or --help", strings.Join(names, ", "))
 }
 
-// panicInsteadOfExit sets a variable of flaggy once, because flaggy has no lock for it.
+// panicInsteadOfExit sets a global variable of flaggy, once, because commands can run concurrently in one process.
 var panicInsteadOfExit = sync.OnceFunc(func() { flaggy.PanicInsteadOfExit = true })
 
 // parseFlags sets the flags of the command that the arguments select. It returns the help if the arguments contain --help.
