runner: no race between a timer and the packets in the fuzz target of messages

The race detector reported four races in FuzzMessages: timers of the follower put documents in force, under the lock of the transporter, while the test calls the steerer without it. Without the detector the target could crash.

--- a/internal/direct/runner/messages_test.go
+++ b/internal/direct/runner/messages_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -105,14 +106,16 @@
 	route := netip.MustParseAddrPort("198.18.0.1:443")
 	f.Add(slices.Concat(framed(fuzzedMessages(f, route))...))
 	f.Add([]byte{0, 4, 0x82, 0x18, 41, 0x80})
-	f.Fuzz(func(_ *testing.T, b []byte) {
-		d := newFuzzedDaemon(conn, float64(len(b)%2)*1e6)
-		for n := 0; len(b) > 2 && n < 12; n++ {
-			size := min(int(b[0])<<8+int(b[1]), len(b)-2)
-			d.receive(b[2 : 2+size])
-			b = b[2+size:]
-		}
-		d.steer(route)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		synctest.Test(t, func(*testing.T) { // timers of the follower run only while nothing else does
+			d := newFuzzedDaemon(conn, float64(len(b)%2)*1e6)
+			for n := 0; len(b) > 2 && n < 12; n++ {
+				size := min(int(b[0])<<8+int(b[1]), len(b)-2)
+				d.receive(b[2 : 2+size])
+				b = b[2+size:]
+			}
+			d.steer(route)
+		})
 	})
 }
 
@@ -127,14 +130,16 @@
 	messages := fuzzedMessages(t, route)
 	for seed := range mutator.Seeds() {
 		random := rand.New(rand.NewPCG(seed, 2))
-		d := newFuzzedDaemon(conn, float64(random.IntN(2))*1e6)
-		for i := range messages[:2] { // the documents
-			d.receive(mutator.Mutate(t, random, messages[i]))
-		}
-		for range 8 {
-			d.receive(mutator.Mutate(t, random, messages[random.IntN(len(messages))]))
-		}
-		d.steer(route)
+		synctest.Test(t, func(t *testing.T) {
+			d := newFuzzedDaemon(conn, float64(random.IntN(2))*1e6)
+			for i := range messages[:2] { // the documents
+				d.receive(mutator.Mutate(t, random, messages[i]))
+			}
+			for range 8 {
+				d.receive(mutator.Mutate(t, random, messages[random.IntN(len(messages))]))
+			}
+			d.steer(route)
+		})
 	}
 }
 
