steerer: idle flows that another daemon may carry are not reset

Cause: TakeLostFlows resets all tracked flows of a lost backend server with the newest acknowledgement that this daemon has seen. After a stop and start of another daemon, flows that had moved are back there, and this daemon knows acknowledgements that are seconds old. Change: a daemon resets an idle flow only if it has seen a packet of it since the fabric may last have given flows to others, and if the flow cannot have left the window at its rate up to then. No time bound follows from the protocol: 16 packets in flight per round trip of 2 ms pass 76,800 bytes within 8 ms. The membership shows starts, stops, failures and returns from a suspicion; a pause of the own process counts too. The daemon that carries the flow resets it, or the flow's next packet does. TestProcessPause and TestSuspension get a Steerer, which a pause now reaches; their checks are unchanged.

--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -201,6 +201,7 @@
 	t.OnDigest(f.SendDigest)
 	t.OnAdmissionReports(f.SendAdmissionReports)
 	t.SetZoneMembers(p.Address(), p.ZoneMembers)
+	t.SetMembershipGeneration(p.Generation)
 	if s.EvenTies {
 		t.SetZoneRank(func() int { return countBefore(p.ZoneMembers(), p.Address()) })
 	}
--- a/internal/direct/transporter/stale_test.go
+++ b/internal/direct/transporter/stale_test.go
@@ -12,7 +12,7 @@
 // backend server that had left 3 s before (soak seed 232).
 func TestProcessPause(t *testing.T) {
 	requests := 0
-	x := &Transporter{}
+	x := &Transporter{c: Config{Steerer: steerer.New(steerer.Config{})}}
 	x.OnStaleBackendList(func() { requests++ })
 	now := time.Unix(1_800_000_000, 0)
 	for range 20 {
@@ -55,7 +55,7 @@
 // pause.
 func TestSuspension(t *testing.T) {
 	var suspended, reported time.Duration
-	x := &Transporter{c: Config{Sleeper: sleeper.New(func() time.Duration { return suspended })}}
+	x := &Transporter{c: Config{Steerer: steerer.New(steerer.Config{}), Sleeper: sleeper.New(func() time.Duration { return suspended })}}
 	x.OnSuspension(func(d time.Duration) { reported += d })
 	x.detectSuspension()
 	if reported != 0 || !x.dropOpeningsUntil.IsZero() {
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -86,6 +86,7 @@
 	self              netip.AddrPort
 	zoneMembers       func() []netip.AddrPort
 	zoneRank          func() int
+	generation        func() uint64 // of the membership
 	sendDigest        func([]estimator.Record)
 	sendDelays        func([]steerer.AdmissionReport)
 	onSuspension      func(time.Duration)
@@ -172,6 +173,7 @@
 func (t *Transporter) detectPause(now time.Time) {
 	if !t.lastRun.IsZero() && now.Sub(t.lastRun) > pauseThreshold {
 		t.dropOpeningsUntil = now.Add(staleViewWait)
+		t.c.Steerer.HandlePause(now)
 		t.requestBackendList()
 	}
 	t.lastRun = now
@@ -209,7 +211,9 @@
 		return
 	}
 	t.mu.Lock()
-	t.dropOpeningsUntil = time.Now().Add(staleViewWait)
+	now := time.Now()
+	t.dropOpeningsUntil = now.Add(staleViewWait)
+	t.c.Steerer.HandlePause(now)
 	t.mu.Unlock()
 	if t.onSuspension != nil {
 		t.onSuspension(suspended)
@@ -222,6 +226,10 @@
 	t.self, t.zoneMembers = self, members
 }
 
+// SetMembershipGeneration sets the function that returns a number that changes when the fabric may send flows to other daemons than before.
+// It is called before Run.
+func (t *Transporter) SetMembershipGeneration(generation func() uint64) { t.generation = generation }
+
 // setReceived records that a part of the view has arrived, and closes ready once all parts have. The caller holds mu.
 func (t *Transporter) setReceived(part int) {
 	t.receivedParts[part] = true
@@ -294,6 +302,9 @@
 		t.detectPause(now)
 		t.c.Steerer.SetZoneMembers(now, t.self, members)
 		t.c.Steerer.SetZoneRank(rank)
+		if t.generation != nil {
+			t.c.Steerer.SetMembershipGeneration(now, t.generation())
+		}
 		findings := t.c.Steerer.TakeFindings(now)
 		resets := t.c.Steerer.TakeLostFlows(now)
 		digest := t.c.Steerer.TakeDigest(now)
--- a/routers/peers/members.go
+++ b/routers/peers/members.go
@@ -16,6 +16,13 @@
 	return p.gossiper.ZoneMembers()
 }
 
+// Generation returns a number that changes when the fabric may send flows to other daemons than before; see gossiper.Gossiper.Generation.
+func (p *Peers) Generation() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gossiper.Generation()
+}
+
 // Checkers returns the members of the own availability zone that can check backend servers, including this daemon.
 func (p *Peers) Checkers() []examiner.Member {
 	p.mu.Lock()
--- a/services/gossiper/gossiper.go
+++ b/services/gossiper/gossiper.go
@@ -130,6 +130,21 @@
 	deadline time.Time
 	// suspectedAt is when this daemon learned that the member is suspect.
 	suspectedAt time.Time
+	// counted is the availability that the membership generation includes.
+	counted availability
+}
+
+// availability is the part of a member's state on which the fabric's choice of daemons depends.
+type availability struct {
+	incarnation uint64
+	refutations uint32 // a member that was suspect may have missed readiness checks
+	serving     bool   // live and not leaving
+}
+
+func (m *member) availability() availability {
+
+	return availability{m.Incarnation, m.RefutationCount, m.isLive() && !m.Leaving}
+
 }
 
 // isLive reports whether the member is alive or suspect.
@@ -182,6 +197,7 @@
 	nextExpiry            time.Time
 	zoneIndex             int              // rotates over the other availability zones to probe
 	cachedRepresentatives []netip.AddrPort // nil if they have to be computed again
+	generation            uint64           // see Generation
 }
 
 // New returns a Gossiper without members.
@@ -239,6 +255,10 @@
 	return m.Member, true
 }
 
+// Generation returns a number that changes when a known member of any zone starts, starts again, refutes a suspicion, announces its stop or is declared dead, so
+// that the fabric may send flows to other daemons than before.
+func (g *Gossiper) Generation() uint64 { return g.generation }
+
 // ZoneMembers returns the members of the own availability zone to which duties, such as health checks, can be assigned,
 // including this daemon: the live ones that are not leaving.
 func (g *Gossiper) ZoneMembers() []netip.AddrPort {
--- a/services/gossiper/merge.go
+++ b/services/gossiper/merge.go
@@ -75,6 +75,10 @@
 	if m.AvailabilityZone == g.self.AvailabilityZone {
 		g.queue.add(now, m.Address)
 	}
+	if current := m.availability(); current != m.counted {
+		m.counted = current
+		g.generation++
+	}
 	g.cachedRepresentatives = nil
 	return []Action{MemberChanged{Member: m.Member}}
 }
--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -27,6 +27,7 @@
 	server                 *backendServer
 	sequence               uint32    // of the newest packet with data, or of the opening packet
 	lastAck                uint32    // newest acknowledgement from the caller
+	firstAck               uint32    // first acknowledgement from the caller that this daemon has seen
 	firstSeen              time.Time // when this daemon saw the flow first
 	openingSentAt          time.Time // when the opening packet was forwarded, while its answer is awaited; zero otherwise
 	lastSentAt             time.Time // when the packet with the sequence above was last forwarded
@@ -156,7 +157,7 @@
 		if f, ok = s.flows[key]; !ok {
 			return false, 0
 		}
-		f.lastAck = p.AckNumber
+		f.firstAck, f.lastAck = p.AckNumber, p.AckNumber
 		if p.DataLength > 0 {
 			f.awaitAnswer(now)
 		}
@@ -187,6 +188,9 @@
 	}
 	switch {
 	case f.handshaking, int32(p.AckNumber-f.lastAck) > 0:
+		if f.handshaking {
+			f.firstAck = p.AckNumber
+		}
 		f.lastAck = p.AckNumber
 		f.server.handleAnswer(now, f, f.handshaking || p.DataLength == 0 || now.Sub(f.lastSentAt) < contradictionWindow)
 		s.evidenceChanged = s.evidenceChanged || f.server.contradicted
@@ -233,7 +237,7 @@
 }
 
 // TakeLostFlows returns the open flows of backend servers that have been removed or have fallen silent, and stops tracking them.
-// The caller of this method resets them without waiting for a packet: a caller that is reset before its next request sends it on
+// Flows that another daemon may carry are left to that one. The caller of this method resets them without waiting for a packet: a caller that is reset before its next request sends it on
 // a new flow. That matters most for requests that are not idempotent, which can't be retried once they are sent.
 func (s *Steerer) TakeLostFlows(now time.Time) []LostFlow {
 	lost := map[*backendServer]bool{}
@@ -255,7 +259,7 @@
 		if !lost[f.server] {
 			continue
 		}
-		if !f.finSeen && !f.handshaking {
+		if !f.finSeen && !f.handshaking && s.knowsAcknowledgement(now, f) {
 			list = append(list, LostFlow{
 				Packet: editor.Packet{Source: key.caller, Destination: key.destination, AckNumber: f.lastAck}, Server: f.server.ID,
 				Age: now.Sub(f.firstSeen),
--- a/services/steerer/steerer.go
+++ b/services/steerer/steerer.go
@@ -177,6 +177,7 @@
 	spillover        spillover
 	admission        admission
 	start            start
+	handover         handover
 }
 
 // New returns a Steerer without routes and backend servers.
