steerer: a backend server is probed also when no other one has answered lately

Cause: three flows that retransmit for 0.3 s make a backend server silent. One that acknowledges a request with its answer looks so while its queue is long. A probe that it accepts keeps the flows, but no probe was made without a reference: another backend server of the service that this daemon has seen answer in the last 2 s. Where a zone has one backend server, or all of them are loaded, there is none. Change: the probe is made without a reference. An accepted one counts, as it always did by itself; any other outcome without a reference shows nothing, as before, so that dead backend servers are found as fast as before.

--- a/internal/direct/reporter/probe.go
+++ b/internal/direct/reporter/probe.go
@@ -30,7 +30,7 @@
 	return r.dialer.Run(ctx)
 }
 
-// startProbe probes the backend server of a finding if that is still needed and one that answers is known besides it.
+// startProbe probes the backend server of a finding if that is still needed.
 func (r *Reporter) startProbe(f *steerer.Finding) {
 	r.mu.Lock()
 	due := r.prober.StartProbe(time.Now(), f.Server)
--- a/services/steerer/health_test.go
+++ b/services/steerer/health_test.go
@@ -352,3 +352,16 @@
 	d.advance(200 * time.Millisecond)
 	g.Expect(d.Steer(d.now, p).Cause).To(Equal(steerer.BackendServerSilent), "still silent")
 }
+
+// TestReferenceUnderLoad guards against a missing probe of a backend server while no other one of its service has answered lately: the probe
+// that it accepts keeps its flows.
+func TestReferenceUnderLoad(t *testing.T) {
+	g := NewWithT(t)
+	d := newDaemon(1, ovenConfiguration, newBackendServer(1, "ovenwatch", "souillac"))
+	reference, ok := d.Reference(d.now, 1)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(reference.Server).To(Equal(newBackendServer(1, "ovenwatch", "souillac").Address))
+	g.Expect(reference.Addresses).To(BeEmpty())
+	_, ok = d.Reference(d.now, 2)
+	g.Expect(ok).To(BeFalse())
+}
--- a/services/steerer/reference.go
+++ b/services/steerer/reference.go
@@ -31,7 +31,8 @@
 }
 
 // Reference returns what is needed to probe a backend server. The outcome of its probe counts only if that of another backend server shows
-// that probes are answered. It returns false if no other one has answered lately.
+// that probes are answered. Without one, under load or in a zone with a single backend server, an accepted probe still shows that the
+// backend server is alive, and any other outcome shows nothing. It returns false if the backend server is unknown.
 func (s *Steerer) Reference(now time.Time, id directory.ServerID) (Reference, bool) {
 	b := s.servers[id]
 	if b == nil {
@@ -48,5 +49,5 @@
 	for _, other := range others[:min(maxReferences, len(others))] {
 		r.Addresses = append(r.Addresses, other.Address)
 	}
-	return r, len(r.Addresses) > 0
+	return r, true
 }
--- a/tests/replay/model.go
+++ b/tests/replay/model.go
@@ -11,6 +11,7 @@
 
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+	"github.com/bluebelldyke/bluebelldyke/services/prober"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
 
@@ -145,6 +146,7 @@
 	result           result
 	scoreByWindow    map[int]float64
 	requestsByWindow map[int]float64
+	probers          map[netip.AddrPort]*prober.Prober // by the address of the daemon that probes
 	placementState
 	zoneState
 }
@@ -280,6 +282,7 @@
 		daemon.Sweep(m.now)
 		for _, f := range daemon.TakeFindings(m.now) {
 			f.Origin = daemonAddress(z, i)
+			m.schedule(networkDelay, func() { m.probeZone(z, &f) })
 			for j, other := range m.daemons[z] {
 				if i != j {
 					m.schedule(networkDelay, func() { other.AddFinding(m.now, f) })
