--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -13,9 +13,7 @@
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/metric"
-	"go.uber.org/dig"
 	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
@@ -30,6 +28,7 @@
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/transporter"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
 	"github.com/bluebelldyke/bluebelldyke/modules/exposer"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/modules/sleeper"
 	"github.com/bluebelldyke/bluebelldyke/modules/spooler"
 	"github.com/bluebelldyke/bluebelldyke/routers/operator"
@@ -51,23 +50,30 @@
 	// other daemons arrive within this time. With fewer than half of the zone's daemons in rotation the fabric sends to all of them,
 	// including those that refuse readiness checks.
 	quietPeriod = 150 * time.Millisecond
-	// exitReserve is the part of the grace period that draining leaves for the exit of the process.
+	// exitReserve is the part of the grace period that draining leaves for the exit of the process, half of a shorter one at most.
 	exitReserve = 500 * time.Millisecond
 )
 
-// Config holds the settings of a daemon and what depends on the platform.
+// Config holds what a daemon gets from the command line and what depends on the platform.
 type Config struct {
-	Settings loader.Settings
 	// File is the settings file. Changes of it are applied while the daemon runs.
-	File   string
-	Source follower.Source
-	Layout editor.Layout
+	File string
+	// NewSource returns the source of the documents that the settings name.
+	NewSource func(loader.Settings) (follower.Source, error)
+	Layout    editor.Layout
+	// Signals has the signals to the process; nil means none.
+	Signals <-chan os.Signal
+	// ExitStatus returns the exit status that follows from the error of Run.
+	ExitStatus func(error) int
+	// Version is the version of the program.
+	Version string
 }
 
 // components are the parts of a running daemon, as assembled by dependency injection.
 type components struct {
 	fx.In
 	Settings    loader.Settings
+	Process     process
 	Logger      *zap.Logger
 	LogOutput   *spooler.Spooler
 	Peers       *peers.Peers
@@ -80,32 +86,10 @@
 	Operator    *operator.Server // nil without an operator address
 }
 
-// Run runs a daemon until ctx ends and the daemon has drained, or until a component fails.
-func Run(ctx context.Context, c Config) error {
-	entry, err := transporter.Listen(c.Settings.EntryBind)
-	if err != nil {
-		return err
-	}
-	defer entry.Close() // has no effect if Transporter.Run has closed it
-	var assembled components
-	app := fx.New(
-		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(c, c.Settings, c.Layout, entry),
-		fx.Provide(func() follower.Source { return c.Source }, newRandom, newSpooler, newLogger, newMetrics, newRecorder, newTransporter, newPeers, newReporter, newFollower, newResponder, newReloader, newAuditor, newSummarizer, newOperator),
-		fx.Invoke(func(in components) { assembled = in }),
-	)
-	if err := app.Err(); err != nil {
-		return dig.RootCause(err)
-	}
-	return assembled.run(ctx)
-}
-
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func newSpooler() *spooler.Spooler { return spooler.New(os.Stdout, 0) }
-
 // newMetrics returns the meter of the daemon and the handler of the metrics page.
-func newMetrics(output *spooler.Spooler) (metric.Meter, http.Handler, error) {
+func newMetrics(output *spooler.Spooler, p process) (metric.Meter, http.Handler, error) {
 	provider, page, err := exposer.New()
 	if err != nil {
 		return nil, nil, err
@@ -116,19 +100,19 @@
 			o.Observe(int64(output.Dropped()))
 			return nil
 		}))
-	return meter, page, eris.Wrap(err, "metric log.dropped")
-}
-
-func newLogger(s loader.Settings, output *spooler.Spooler) (*zap.Logger, zap.AtomicLevel, error) {
-	level, err := zap.ParseAtomicLevel(s.Log.Level)
 	if err != nil {
-		return nil, level, eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
+		return nil, nil, eris.Wrap(err, "metric log.dropped")
 	}
-	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
-	if s.Log.Format == "text" {
-		encoder = zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
-	}
-	return zap.New(zapcore.NewCore(encoder, output, level)), level, nil
+	_, err = meter.Int64ObservableGauge("bluebelldyke.process.start-time", metric.WithDescription("start of the process in Unix time"), metric.WithUnit("s"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(p.startedAt.Unix())
+			return nil
+		}))
+	return meter, page, eris.Wrap(err, "metric process.start-time")
+}
+
+func newRecoverer(logger *zap.Logger, meter metric.Meter) (*recoverer.Recoverer, error) {
+	return recoverer.New(recoverer.Config{Logger: logger, Meter: meter})
 }
 
 func newRecorder(s loader.Settings, logger *zap.Logger, audit *auditor.Auditor) *recorder.Recorder {
@@ -144,7 +128,8 @@
 }
 
 func newTransporter(
-	s loader.Settings, entry *net.UDPConn, layout editor.Layout, random *rand.Rand, records *recorder.Recorder, meter metric.Meter,
+	s loader.Settings, entry transporter.Conn, layout editor.Layout, random *rand.Rand, records *recorder.Recorder, meter metric.Meter,
+	contains *recoverer.Recoverer,
 ) (*transporter.Transporter, error) {
 	t := transporter.New(transporter.Config{
 		EntryConn: entry, Layout: layout, Steerer: steerer.New(steerer.Config{
@@ -154,20 +139,25 @@
 			SpeedDigests: s.SpeedDigests, DigestOrigin: uint16(rand.Uint32()), EvenTies: s.EvenTies, StartLimit: s.StartLimit,
 			CrossZoneMargin: s.CrossZoneMargin,
 		}),
-		Recorder: records, Sleeper: sleeper.New(sleeper.TotalSuspended), ReportAtOnce: s.Probes, StartQueue: s.StartQueue,
+		Recorder: records, Recoverer: contains, Sleeper: sleeper.New(sleeper.TotalSuspended), ReportAtOnce: s.Probes, StartQueue: s.StartQueue,
 	})
 	return t, t.RegisterMetrics(meter)
 }
 
-func newPeers(s loader.Settings, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
+func newPeers(
+	s loader.Settings, process process, socket peers.Conn, logger *zap.Logger, meter metric.Meter, contains *recoverer.Recoverer,
+) (*peers.Peers, error) {
 	return peers.New(peers.Config{
-		Bind: s.Peer.Bind, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: uint64(time.Now().UnixMilli()),
+		Conn: socket, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: process.incarnation,
 		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Weak: s.Peer.Weak, FastDetection: s.Peer.FastDetection, Logger: logger, Meter: meter, Random: newRandom(),
+		Recoverer: contains,
 	})
 }
 
-func newReporter(s loader.Settings, t *transporter.Transporter, p *peers.Peers, logger *zap.Logger, meter metric.Meter) (*reporter.Reporter, error) {
-	c := reporter.Config{Peers: p, Sink: t, Logger: logger, AvailabilityZone: s.AvailabilityZone, Weak: s.Peer.Weak}
+func newReporter(
+	s loader.Settings, t *transporter.Transporter, p *peers.Peers, logger *zap.Logger, meter metric.Meter, contains *recoverer.Recoverer,
+) (*reporter.Reporter, error) {
+	c := reporter.Config{Peers: p, Sink: t, Logger: logger, Recoverer: contains, AvailabilityZone: s.AvailabilityZone, Weak: s.Peer.Weak}
 	if s.Probes {
 		c.References = t
 	}
@@ -188,13 +178,13 @@
 
 func newFollower(
 	s loader.Settings, source follower.Source, t *transporter.Transporter, p *peers.Peers, r *reporter.Reporter, records *recorder.Recorder,
-	logger *zap.Logger, meter metric.Meter, audit *auditor.Auditor,
+	logger *zap.Logger, meter metric.Meter, audit *auditor.Auditor, contains *recoverer.Recoverer,
 ) (*follower.Follower, error) {
 	f := follower.New(follower.Config{
 		Source: source, Sink: followerSink{t, r}, Peers: p, Logger: logger, AvailabilityZone: s.AvailabilityZone, AvailabilityZones: s.AvailabilityZones,
 		Seeds: s.Peer.Seeds, StalenessBounds: follower.StalenessBounds{BackendList: s.LeavingBound, Configuration: s.ConfigurationBound, Evacuations: s.EvacuationBound},
 		LimitsColdServers: !s.ColdLimit.IsZero(), TracksWarmUp: s.SpeedDigests, HandleDigest: t.AddDigest, Audit: trail(audit),
-		LinkRate: s.Peer.LinkRate, Weak: s.Peer.Weak,
+		LinkRate: s.Peer.LinkRate, Weak: s.Peer.Weak, Recoverer: contains,
 		HandleAdmissionReport: admissionReportHandler(s, t),
 	})
 	r.SetFollower(f)
@@ -222,21 +212,21 @@
 	return t.AddAdmissionReport
 }
 
-func newReloader(c Config, level zap.AtomicLevel, p *peers.Peers, f *follower.Follower, logger *zap.Logger) *reloader.Reloader {
-	inForce := c.Settings
-	return reloader.New(reloader.Config{File: c.File, Logger: logger, Apply: func(s loader.Settings) {
+func newReloader(c Config, inForce loader.Settings, content settingsContent, level zap.AtomicLevel, p *peers.Peers, f *follower.Follower, logger *zap.Logger) *reloader.Reloader {
+	return reloader.New(reloader.Config{File: c.File, Content: content, Logger: logger, Apply: func(s loader.Settings) {
 		p.SetSeeds(s.Peer.Seeds)
 		f.SetSeeds(s.Peer.Seeds)
 		if l, err := zapcore.ParseLevel(s.Log.Level); err == nil { // the loader has validated the level
 			level.SetLevel(l)
 		}
+		logAdjustments(logger, s)
 		logger.Info("changed settings are in force", zap.Stringers("seeds", s.Peer.Seeds), zap.Bool("restart-needed", s.NeedsRestart(&inForce)))
 		inForce = s
 	}})
 }
 
-func newResponder(s loader.Settings, page http.Handler, logger *zap.Logger) (*responder.Responder, error) {
-	return responder.New(responder.Config{ReadinessBind: s.ReadinessBind, MetricsBind: s.MetricsBind, MetricsPage: page, Logger: logger})
+func newResponder(s loader.Settings, readiness net.Listener, page http.Handler, logger *zap.Logger) *responder.Responder {
+	return responder.New(responder.Config{Readiness: readiness, MetricsBind: s.MetricsBind, MetricsPage: page, Logger: logger})
 }
 
 // countBefore returns the number of members whose address is lower than that of this daemon.
@@ -250,23 +240,22 @@
 	return n
 }
 
-// run runs the components. When ctx ends they continue until the daemon has drained.
-func (c *components) run(ctx context.Context) error {
-	c.Logger.Info("daemon starts", zap.String("vm", c.Settings.VMName), zap.String("availability-zone", c.Settings.AvailabilityZone))
-	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+// run runs the components until the daemon has drained after ctx has ended, until abort ends, or until a component has failed.
+func (c *components) run(ctx, abort context.Context) error {
+	runCtx, cancel := context.WithCancel(abort)
 	defer cancel()
 	group, runCtx := errgroup.WithContext(runCtx)
-	outputCtx, endOutput := context.WithCancel(context.WithoutCancel(ctx))
-	var outputGroup errgroup.Group
-	outputGroup.Go(func() error { return c.LogOutput.Run(outputCtx) })
-	group.Go(func() error { return c.Peers.Run(runCtx) })
-	group.Go(func() error { return c.Reporter.Run(runCtx) })
-	group.Go(func() error { return c.Follower.Run(runCtx) })
-	group.Go(func() error { return c.Transporter.Run(runCtx) })
-	group.Go(func() error { return c.Responder.Run(runCtx) })
-	group.Go(func() error { return c.Reloader.Run(runCtx) })
+	run := func(name string, f func(context.Context) error) {
+		group.Go(func() error { return eris.Wrapf(f(runCtx), "component %s", name) })
+	}
+	run("peers", c.Peers.Run)
+	run("reporter", c.Reporter.Run)
+	run("follower", c.Follower.Run)
+	run("transporter", c.Transporter.Run)
+	run("responder", c.Responder.Run)
+	run("reloader", c.Reloader.Run)
 	if c.Operator != nil {
-		group.Go(func() error { return c.Operator.Run(runCtx) })
+		run("operator", c.Operator.Run)
 	}
 	group.Go(func() error {
 		select {
@@ -289,11 +278,7 @@
 		cancel()
 		return nil
 	})
-	err := group.Wait()
-	c.Logger.Info("daemon ends", zap.Error(err))
-	endOutput()
-	_ = outputGroup.Wait() // it returns no error
-	return err
+	return group.Wait()
 }
 
 // refusalCounter counts the readiness checks that were refused.
@@ -341,5 +326,5 @@
 	c.Transporter.ForwardHeld()
 	c.Responder.SetReady(false)
 	c.Peers.Leave()
-	c.Logger.Info("daemon leaves", zap.Stringer("reason", awaitDrained(ctx, c.Settings.GracePeriod-exitReserve, c.Responder, c.Transporter)))
+	c.Logger.Info("daemon leaves", zap.Stringer("reason", awaitDrained(ctx, c.Settings.GracePeriod-min(exitReserve, c.Settings.GracePeriod/2), c.Responder, c.Transporter)))
 }
