--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -6,22 +6,25 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 
+	"github.com/bluebelldyke/bluebelldyke/modules/binder"
 	"github.com/bluebelldyke/bluebelldyke/modules/configurer"
 	"github.com/bluebelldyke/bluebelldyke/modules/counter"
 	"github.com/bluebelldyke/bluebelldyke/modules/exposer"
+	"github.com/bluebelldyke/bluebelldyke/modules/printer"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/modules/ring"
 	"github.com/bluebelldyke/bluebelldyke/routers/checker"
 	"github.com/bluebelldyke/bluebelldyke/routers/operator"
@@ -49,14 +52,50 @@
 	newRandom   func() *mathrand.Rand // returns a generator with a seed of its own
 }
 
+// peerSockets are the sockets at the peer address.
+type peerSockets struct {
+	udp *net.UDPConn
+	tcp net.Listener
+}
+
+// bindPeers binds the peer address. While the predecessor of this process holds it, bindPeers waits.
+func bindPeers(ctx context.Context, s configurer.Settings, logger *zap.Logger) (peerSockets, error) {
+	udp, err := binder.ListenUDP(ctx, binder.Config{Bind: s.Peer.Bind, Network: "udp", Key: "peer.bind", Logger: logger})
+	if err != nil {
+		return peerSockets{}, err
+	}
+	tcp, err := binder.ListenTCP(ctx, binder.Config{Bind: s.Peer.Bind, Network: "tcp", Key: "peer.bind", Logger: logger})
+	if err != nil {
+		return peerSockets{}, errors.Join(err, udp.Close())
+	}
+	return peerSockets{udp, tcp}, nil
+}
+
 // Run runs a balancer until ctx ends, and then shuts it down gracefully.
 func Run(ctx context.Context, s configurer.Settings) error {
+	output, err := newLogOutput(s, printer.Stderr)
+	if err != nil {
+		return err
+	}
+	err = run(ctx, s, output.logger)
+	output.end(ctx, err)
+	return err
+}
+
+func run(ctx context.Context, s configurer.Settings, logger *zap.Logger) error {
+	sockets, err := bindPeers(ctx, s, logger)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}
 	var t *tasks
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(s),
+		fx.Supply(s, logger, sockets),
 		fx.Provide(
-			newProcess, newLogger, newMetrics, newWebServer, newPeers, newRelayer, newScheduler, newGatekeeper, newCounters,
+			newProcess, newMetrics, newRecoverer, newWebServer, newPeers, newRelayer, newScheduler, newGatekeeper, newCounters,
 			newForwarder, newRings, newEntrySockets, newWriters, newChecker, newDecider, newAuditor, newStatus, newOperator,
 			newTasks,
 		),
@@ -69,7 +108,7 @@
 	if err := app.Start(ctx); err != nil {
 		return dig.RootCause(err)
 	}
-	err := t.run(ctx)
+	err = t.run(ctx)
 	if stopErr := app.Stop(context.WithoutCancel(ctx)); err == nil {
 		err = stopErr
 	}
@@ -87,23 +126,6 @@
 	}
 }
 
-func newLogger(s configurer.Settings) (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	if s.Log.Format == "text" {
-		c = zap.NewDevelopmentConfig()
-	}
-	if s.Log.Level != "" {
-		level, err := zap.ParseAtomicLevel(s.Log.Level)
-		if err != nil {
-			return nil, eris.Wrapf(err, "log.level %q: use debug, info, warn or error", s.Log.Level)
-		}
-		c.Level = level
-	}
-	c.DisableStacktrace = true
-	logger, err := c.Build()
-	return logger, eris.Wrap(err, "create the logger")
-}
-
 func newMetrics(lc fx.Lifecycle) (metric.Meter, http.Handler, error) {
 	provider, handler, err := exposer.New()
 	if err != nil {
@@ -113,10 +135,15 @@
 	return provider.Meter("bluebelldyke"), handler, nil
 }
 
-func newPeers(s configurer.Settings, p process, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
+func newRecoverer(logger *zap.Logger, meter metric.Meter) (*recoverer.Recoverer, error) {
+	return recoverer.New(recoverer.Config{Logger: logger, Meter: meter})
+}
+
+func newPeers(s configurer.Settings, p process, sockets peerSockets, recoverer *recoverer.Recoverer, logger *zap.Logger, meter metric.Meter) (*peers.Peers, error) {
 	return peers.New(peers.Config{
-		Bind: s.Peer.Bind, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: p.incarnation,
+		Conn: sockets.udp, Advertise: s.Peer.Advertise, AvailabilityZone: s.AvailabilityZone, Incarnation: p.incarnation,
 		Key: s.Peer.Key, Seeds: s.Peer.Seeds, Logger: logger, Meter: meter, Random: p.newRandom(),
+		Recoverer: recoverer,
 	})
 }
 
@@ -131,10 +158,10 @@
 func newAuditor() *auditor.Auditor { return auditor.New(auditor.Config{}) }
 
 func newRelayer(
-	s configurer.Settings, p process, members *peers.Peers, audit *auditor.Auditor, logger *zap.Logger, meter metric.Meter,
+	s configurer.Settings, p process, sockets peerSockets, members *peers.Peers, audit *auditor.Auditor, logger *zap.Logger, meter metric.Meter,
 ) (*relayer.Relayer, error) {
 	r, err := relayer.New(relayer.Config{
-		PlatformURL: s.Platform.URL, AvailabilityZone: s.AvailabilityZone, Self: members.Address(), Bind: s.Peer.Bind, Seeds: s.Peer.Seeds, Members: members,
+		PlatformURL: s.Platform.URL, AvailabilityZone: s.AvailabilityZone, Self: members.Address(), Listener: sockets.tcp, Seeds: s.Peer.Seeds, Members: members,
 		Audit: auditSink{audit}, Logger: logger, Meter: meter, Random: p.newRandom(), Key: s.Peer.Key,
 		Dial: dialFrom(s.Peer.Bind.Addr()),
 	})
@@ -213,16 +240,16 @@
 
 func newDecider(
 	logger *zap.Logger, f *forwarder.Forwarder, s *scheduler.Scheduler, sockets *sockets, w *writers, c *checker.Checker,
-	r *relayer.Relayer, members *peers.Peers, rings rings, web *webServer,
+	r *relayer.Relayer, members *peers.Peers, rings rings, web *webServer, recoverer *recoverer.Recoverer,
 ) *decider {
 	return &decider{
 		logger: logger, forwarder: f, scheduler: s, sockets: sockets, writers: w, checker: c, views: r.Views(),
-		refresher: r, gateForwarder: members, candidates: members, rings: rings, web: web,
+		refresher: r, gateForwarder: members, candidates: members, rings: rings, web: web, recoverer: recoverer,
 	}
 }
 
-func newOperator(s configurer.Settings, status *status, logger *zap.Logger) *operator.Server {
-	return operator.New(operator.Config{Bind: s.Operator.Bind, Status: status, Audit: status, Logger: logger})
+func newOperator(s configurer.Settings, status *status, logger *zap.Logger, recoverer *recoverer.Recoverer) *operator.Server {
+	return operator.New(operator.Config{Bind: s.Operator.Bind, Status: status, Audit: status, Logger: logger, Recoverer: recoverer})
 }
 
 // localAddress returns the address to which the socket to backend servers is bound.
--- a/routers/daemon/decider.go
+++ b/routers/daemon/decider.go
@@ -5,12 +5,14 @@
 	"net/netip"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/bluebelldyke/bluebelldyke/models/fleet"
 	"github.com/bluebelldyke/bluebelldyke/models/settings"
 	"github.com/bluebelldyke/bluebelldyke/models/view"
 	"github.com/bluebelldyke/bluebelldyke/modules/packer"
+	"github.com/bluebelldyke/bluebelldyke/modules/recoverer"
 	"github.com/bluebelldyke/bluebelldyke/routers/checker"
 	"github.com/bluebelldyke/bluebelldyke/routers/peers"
 	"github.com/bluebelldyke/bluebelldyke/routers/transceiver"
@@ -29,6 +31,8 @@
 	placementPauseTimeout = 500 * time.Millisecond
 	// flushThreshold is the number of collected actions from which the output is passed to the writers although datagrams wait.
 	flushThreshold = 64
+	// maxFailedTicks is the number of failed ticks in a row, those of a second, after which the process ends.
+	maxFailedTicks = 100
 )
 
 // refresher fetches newer settings and reports how fresh the view is.
@@ -50,7 +54,7 @@
 	GateForwards() <-chan peers.GateForward
 }
 
-// decider owns all mutable state of the data path. Its methods run on the decision goroutine, the one of Run, except runQuery.
+// decider owns all mutable state of the data path. Its methods run on the decision goroutine, the one of Run.
 type decider struct {
 	logger        *zap.Logger
 	forwarder     *forwarder.Forwarder
@@ -63,12 +67,14 @@
 	gateForwarder gateForwarder
 	web           *webServer
 	candidates    candidateSetter
+	recoverer     *recoverer.Recoverer
 	rings
 
 	output      *output
 	current     *view.View
 	lastTick    time.Time
 	pausedSince time.Time // when the last pause was detected; zero after the view was confirmed
+	failedTicks int       // in a row
 }
 
 // Run handles events until ctx ends.
@@ -86,23 +92,42 @@
 		case b := <-d.backend.Items():
 			d.handleBackendBatch(b)
 		case f := <-d.gateForwarder.GateForwards():
-			d.detectPause(time.Now())
-			d.forwarder.HandleForwardedDatagram(time.Now(), f.Caller, f.Service, f.Datagram, &d.output.actions)
+			d.recoverer.Do("forwarded-datagram", len(f.Datagram), func() {
+				d.detectPause(time.Now())
+				d.forwarder.HandleForwardedDatagram(time.Now(), f.Caller, f.Service, f.Datagram, &d.output.actions)
+			})
 		case v := <-d.views:
-			d.setView(v)
+			d.recoverer.Do("settings", 0, func() { d.setView(v) })
 		case u := <-d.healthUpdates.Items():
-			d.handleHealthUpdate(u)
+			d.recoverer.Do("health-update", 0, func() { d.handleHealthUpdate(u) })
 		case query := <-d.queries.Items():
-			query(time.Now())
+			d.recoverer.Do("query", 0, func() { query(time.Now()) })
 		case <-ticker.C:
-			d.tick()
+			if err := d.runTick(); err != nil {
+				return err
+			}
 		}
 		if d.noDatagramsWaiting() || len(d.output.actions.List) >= flushThreshold {
-			d.flush()
+			if !d.recoverer.Do("output", 0, d.flush) {
+				d.output = newOutput()
+			}
 		}
 	}
 }
 
+// runTick runs tick. A tick handles what is due in order, so one that always fails would leave all that is due later undone; a new
+// process has a new state.
+func (d *decider) runTick() error {
+	if d.recoverer.Do("tick", 0, d.tick) {
+		d.failedTicks = 0
+		return nil
+	}
+	if d.failedTicks++; d.failedTicks < maxFailedTicks {
+		return nil
+	}
+	return eris.Errorf("the last %d ticks failed: report the log line \"input dropped because of a panic\"", d.failedTicks)
+}
+
 // noDatagramsWaiting reports whether no datagram is queued. Collected output is then flushed, because no further datagram will soon
 // fill it up.
 func (d *decider) noDatagramsWaiting() bool { return d.entry.Len() == 0 && d.backend.Len() == 0 }
@@ -111,7 +136,9 @@
 	now := time.Now()
 	d.detectPause(now)
 	for _, datagram := range b.Datagrams {
-		d.forwarder.HandleCallerDatagram(now, datagram.From, b.ServiceAddress, datagram.Data, &d.output.actions)
+		d.recoverer.Do("caller-datagram", len(datagram.Data), func() {
+			d.forwarder.HandleCallerDatagram(now, datagram.From, b.ServiceAddress, datagram.Data, &d.output.actions)
+		})
 	}
 	b.Release()
 }
@@ -120,7 +147,9 @@
 	now := time.Now()
 	d.detectPause(now) // a refusal by a backend server leads to a retry, which needs a placement
 	for _, datagram := range b.Datagrams {
-		d.forwarder.HandleBackendDatagram(now, datagram.From, datagram.Data, &d.output.actions)
+		d.recoverer.Do("backend-datagram", len(datagram.Data), func() {
+			d.forwarder.HandleBackendDatagram(now, datagram.From, datagram.Data, &d.output.actions)
+		})
 	}
 	b.Release()
 }
@@ -153,6 +182,16 @@
 	}
 	d.forwarder.Tick(now, &d.output.actions)
 	d.sockets.closeDrained(now)
+	d.sockets.retryUnopened(now)
+	d.updateState()
+}
+
+// updateState changes the state from starting to serving as soon as the settings are applied and a service address is served. While a
+// predecessor holds all of them, it serves the callers.
+func (d *decider) updateState() {
+	if d.current != nil && d.sockets.isServing() && d.web.state.CompareAndSwap(uint32(stateStarting), uint32(stateServing)) {
+		d.logger.Info("serving", zap.Uint64("settings-revision", d.current.Tree.Revision))
+	}
 }
 
 func (d *decider) setView(v *view.View) {
@@ -165,9 +204,7 @@
 	d.candidates.SetCandidates(v.VMList)
 	d.sockets.update(now, v)
 	d.checker.SetBackendServers(v.Tree.BackendServers)
-	if d.web.state.CompareAndSwap(uint32(stateStarting), uint32(stateServing)) {
-		d.logger.Info("serving", zap.Uint64("settings-revision", v.Tree.Revision))
-	}
+	d.updateState()
 }
 
 // healthStateOf maps the states of health updates to those of the scheduler.
@@ -204,16 +241,18 @@
 	d.output = newOutput()
 }
 
-// runQuery runs query on the decision goroutine and waits until it has returned.
-func (d *decider) runQuery(ctx context.Context, query func(now time.Time)) error {
-	done := make(chan struct{})
-	if err := d.queries.Push(ctx, func(now time.Time) { query(now); close(done) }); err != nil {
-		return err
+// runQuery runs the query on the decision goroutine and returns its result. A query whose result is no longer awaited may still run, so its
+// result is passed by value.
+func runQuery[T any](ctx context.Context, d *decider, query func(now time.Time) T) (T, error) {
+	var none T
+	results := make(chan T, 1)
+	if err := d.queries.Push(ctx, func(now time.Time) { results <- query(now) }); err != nil {
+		return none, err
 	}
 	select {
-	case <-done:
-		return nil
+	case result := <-results:
+		return result, nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return none, ctx.Err()
 	}
 }
