--- a/routers/daemon/daemon.go
+++ b/routers/daemon/daemon.go
@@ -105,7 +105,9 @@
 	if err := app.Err(); err != nil {
 		return dig.RootCause(err)
 	}
-	if err := app.Start(ctx); err != nil {
+	if err := app.Start(ctx); ctx.Err() != nil {
+		return app.Stop(context.WithoutCancel(ctx)) // nothing is served yet
+	} else if err != nil {
 		return dig.RootCause(err)
 	}
 	err = t.run(ctx)
@@ -159,11 +161,12 @@
 
 func newRelayer(
 	s configurer.Settings, p process, sockets peerSockets, members *peers.Peers, audit *auditor.Auditor, logger *zap.Logger, meter metric.Meter,
+	recoverer *recoverer.Recoverer,
 ) (*relayer.Relayer, error) {
 	r, err := relayer.New(relayer.Config{
 		PlatformURL: s.Platform.URL, AvailabilityZone: s.AvailabilityZone, Self: members.Address(), Listener: sockets.tcp, Seeds: s.Peer.Seeds, Members: members,
 		Audit: auditSink{audit}, Logger: logger, Meter: meter, Random: p.newRandom(), Key: s.Peer.Key,
-		Dial: dialFrom(s.Peer.Bind.Addr()),
+		Dial: dialFrom(s.Peer.Bind.Addr()), Recoverer: recoverer,
 	})
 	if err != nil {
 		return nil, err
@@ -225,11 +228,12 @@
 }
 
 func newChecker(
-	s configurer.Settings, p process, r rings, members *peers.Peers, meter metric.Meter,
+	s configurer.Settings, p process, r rings, members *peers.Peers, meter metric.Meter, recoverer *recoverer.Recoverer,
 ) (*checker.Checker, error) {
 	c, err := checker.New(checker.Config{
 		Self: members.Address(), AvailabilityZone: s.AvailabilityZone, Incarnation: p.incarnation, Members: members,
 		Random: p.newRandom(), HealthUpdates: r.healthUpdates, Dial: dialFrom(localAddress(s.Entry).Addr()), Meter: meter,
+		Recoverer: recoverer,
 	})
 	if err != nil {
 		return nil, err
