--- a/services/steerer/handover_test.go
+++ b/services/steerer/handover_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
+	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
 
 // callerWindow is how far the sequence number of a reset may be from the newest acknowledgement of the caller.
@@ -31,6 +32,8 @@
 	lost := d.TakeLostFlows(d.now)
 	g.Expect(lost).To(HaveLen(1))
 	g.Expect(lost[0].Packet.Source).To(Equal(kept.Source))
+	moved.SequenceNumber += 200
+	g.Expect(d.Steer(d.now, moved).Cause).To(Equal(steerer.BackendServerRemoved), "the next packet is reset with its own acknowledgement")
 }
 
 // TestResetsAfterHandovers guards against resets outside of the caller's window in random orders of stops and starts of daemons, responses
