tests: backend servers of the soak acknowledge requests at once or with the answers, by the seed

Change: with AcknowledgeAtOnce it acknowledges a request when it arrives, and retransmits its answer until that is acknowledged, since the caller then sends the request only once. The soak draws the way from a source of its own, so that the faults of a seed stay the same. Without AcknowledgeAtOnce, as in the integration specs, nothing changes. The integration specs were not run.

--- a/tests/harness/deployment/deployment.go
+++ b/tests/harness/deployment/deployment.go
@@ -88,6 +88,8 @@
 	Share float64
 	// LowPriorityRoutes gives each service a second route, with callers and a lower priority.
 	LowPriorityRoutes bool
+	// AcknowledgeAtOnce makes backend servers acknowledge requests when they arrive instead of with the answers.
+	AcknowledgeAtOnce bool
 }
 
 // Deployment is a set of running daemons with the stand-ins around them.
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -92,6 +92,7 @@
 	d, err := deployment.Start(deployment.Config{
 		Binaries: o.binaryDir, Zones: zones, Daemons: o.daemons, BackendsPerZone: backendsPerZone, FlowsPerService: flows, Evacuations: true,
 		Supervised: true, Share: o.share, AsDeployed: o.processFaults, LowPriorityRoutes: o.processFaults,
+		AcknowledgeAtOnce: rand.New(rand.NewPCG(seed, 12)).IntN(2) == 0, // from a source of its own, so that the faults of a seed stay
 	})
 	if err != nil {
 		return nil, err
--- a/tests/standins/direct/backend.go
+++ b/tests/standins/direct/backend.go
@@ -48,8 +48,16 @@
 	Violations  *Violations
 	// ServiceAddresses are the service addresses whose flows this backend server may get.
 	ServiceAddresses map[netip.AddrPort]bool
+	// AcknowledgeAtOnce makes it acknowledge each request when it arrives. Without it the answer acknowledges the request.
+	AcknowledgeAtOnce bool
 }
 
+// Answers are retransmitted like requests, as callers send an acknowledged request only once.
+const (
+	maxRetransmissionInterval = 1600 * time.Millisecond
+	maxAnswerRetransmissions  = 8
+)
+
 // Backend is a backend server stand-in. It accepts flows and answers each request after the service time.
 type Backend struct {
 	config BackendConfig
@@ -73,6 +81,7 @@
 	expectedSequence uint32 // sequence number of the next data from the caller
 	ownSequence      uint32 // sequence number of the next data to the caller
 	lastAnswer       []byte
+	acknowledged     uint32 // newest acknowledgement from the caller
 }
 
 // NewBackend binds the backend server's address.
@@ -187,6 +196,9 @@
 	defer b.mu.Unlock()
 	key := flowKey{p.Source, p.Destination}
 	f := b.flows[key]
+	if f != nil && intact && !p.Flags.SYN && int32(p.AckNumber-f.acknowledged) > 0 {
+		f.acknowledged = p.AckNumber
+	}
 	if p.Flags.SYN && intact {
 		b.openings = append(b.openings, time.Now())
 		if !b.noOpeningsAfter.IsZero() && time.Now().After(b.noOpeningsAfter) {
@@ -222,6 +234,9 @@
 	case len(data) > 0 && p.SequenceNumber == f.expectedSequence:
 		f.expectedSequence += uint32(p.DataLength)
 		b.runCounts[binary.BigEndian.Uint64(data)]++
+		if b.config.AcknowledgeAtOnce {
+			b.send(&p, editor.Flags{ACK: true}, f.ownSequence, f.expectedSequence, nil)
+		}
 		time.AfterFunc(b.config.ServiceTime, func() { b.sendAnswer(p, f, append([]byte("answer "), data...)) })
 	// A retransmission of the last request: the answer was lost.
 	case len(data) > 0 && f.lastAnswer != nil && p.SequenceNumber+uint32(p.DataLength) == f.expectedSequence:
@@ -238,6 +253,23 @@
 	f.lastAnswer = data
 	b.send(&p, editor.Flags{ACK: true}, f.ownSequence, f.expectedSequence, data)
 	f.ownSequence += uint32(len(data) + checksumSize)
+	if b.config.AcknowledgeAtOnce {
+		b.retransmitAnswer(&p, f, firstRetransmission, maxAnswerRetransmissions)
+	}
+}
+
+// retransmitAnswer sends the last answer of a flow again after an interval, until the caller acknowledges it. The caller holds mu.
+func (b *Backend) retransmitAnswer(p *editor.Packet, f *servedFlow, interval time.Duration, remaining int) {
+	end := f.ownSequence
+	time.AfterFunc(interval, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.crashed || remaining == 0 || b.flows[flowKey{p.Source, p.Destination}] != f || f.ownSequence != end || int32(f.acknowledged-end) >= 0 {
+			return
+		}
+		b.send(p, editor.Flags{ACK: true}, end-uint32(len(f.lastAnswer)+checksumSize), f.expectedSequence, f.lastAnswer)
+		b.retransmitAnswer(p, f, min(2*interval, maxRetransmissionInterval), remaining-1)
+	})
 }
 
 // send sends a packet to the caller of p, with the tag that p carried.
--- a/tests/standins/direct/caller.go
+++ b/tests/standins/direct/caller.go
@@ -187,9 +187,11 @@
 func (c *Callers) sendRequest(ctx context.Context, p *editor.Packet, in chan receivedPacket) bool {
 	data := binary.BigEndian.AppendUint64(nil, c.lastRequestID.Add(1))
 	data = append(data, make([]byte, requestPadding)...)
-	started := time.Now()
+	started, acknowledged := time.Now(), false
 	for interval := firstRetransmission; ; interval *= 2 {
-		c.send(p, data)
+		if !acknowledged {
+			c.send(p, data)
+		}
 		for retransmitAt := time.Now().Add(interval); ; {
 			r, ok := awaitPacket(ctx, in, min(time.Until(retransmitAt), c.config.Deadline-time.Since(started)))
 			switch {
@@ -211,6 +213,8 @@
 				c.send(p, nil)
 				c.recordAnswer(time.Since(started))
 				return true
+			case ok && len(r.data) == 0 && r.packet.AckNumber == p.SequenceNumber+uint32(len(data)+checksumSize):
+				acknowledged = true // the backend server sends the answer until it is acknowledged
 			}
 			if !time.Now().Before(retransmitAt) {
 				break
