--- a/modules/recoverer/recoverer.go
+++ b/modules/recoverer/recoverer.go
@@ -50,7 +50,7 @@
 // New returns a Recoverer.
 func New(c Config) (*Recoverer, error) {
 	r := &Recoverer{logger: c.Logger, boundaries: map[string]*boundary{}}
-	_, err := c.Meter.Int64ObservableCounter("bluebelldyke.direct.panics", metric.WithDescription("inputs dropped because of a panic, by boundary"),
+	_, err := c.Meter.Int64ObservableCounter("bluebelldyke.panics", metric.WithDescription("inputs dropped because of a panic, by boundary"),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			r.mu.Lock()
 			defer r.mu.Unlock()
@@ -59,7 +59,7 @@
 			}
 			return nil
 		}))
-	return r, eris.Wrap(err, "metric direct.panics")
+	return r, eris.Wrap(err, "metric panics")
 }
 
 // Do calls handle for an input of the given size in bytes, and reports whether it returned without a panic. Locks that handle takes must be
