--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -335,12 +335,16 @@
 	if t.zoneRank != nil {
 		rank = t.zoneRank()
 	}
+	var generation uint64
+	if t.generation != nil {
+		generation = t.generation()
+	}
 	var d due
 	t.guarded(tickBoundary, func(now time.Time) {
 		if t.repairPending {
 			t.repair(now)
 		}
-		d = t.takeDue(now, members, rank)
+		d = t.takeDue(now, members, rank, generation)
 	})
 	for i := range d.resets {
 		t.sendReset(buffer, &d.resets[i].Packet)
@@ -355,14 +359,12 @@
 	t.reportDelays(d.delays)
 }
 
-// takeDue takes from the Steerer what is due at a tick. The caller holds mu.
-func (t *Transporter) takeDue(now time.Time, members []netip.AddrPort, rank int) due {
+// takeDue takes from the Steerer what is due at a tick, for the members, the rank and the generation of the membership. The caller holds mu.
+func (t *Transporter) takeDue(now time.Time, members []netip.AddrPort, rank int, generation uint64) due {
 	t.detectPause(now)
 	t.c.Steerer.SetZoneMembers(now, t.self, members)
 	t.c.Steerer.SetZoneRank(rank)
-	if t.generation != nil {
-		t.c.Steerer.SetMembershipGeneration(now, t.generation())
-	}
+	t.c.Steerer.SetMembershipGeneration(now, generation)
 	d := due{findings: t.c.Steerer.TakeFindings(now), resets: t.c.Steerer.TakeLostFlows(now), digest: t.c.Steerer.TakeDigest(now), delays: t.c.Steerer.TakeAdmissionReports(now)}
 	t.c.Recorder.LogFindings(recorder.FoundBySelf, d.findings)
 	for i := range d.resets {
