tests/soak: judge each reset by its sender, its sequence number and the state of the backend server

What was missing: callers accepted any reset, and the soak only counted them, so that neither a reset of a live backend server's flow nor one outside of the caller's window was a broken guarantee. One inside of it is a violation in the soak if the backend server holds the flow and has not crashed, and neither the daemon nor the store was disturbed in the last 4 s; a stall of the soak itself for more than 250 ms counts as a disturbance, and so do odd inputs, which may drop a route. ForbidResets checks as before.

--- a/tests/harness/deployment/deployment.go
+++ b/tests/harness/deployment/deployment.go
@@ -120,6 +120,7 @@
 	processes            []supervised
 	ends                 []*End
 	startUps             []time.Duration
+	liveResets           []LiveReset
 }
 
 func (d *Deployment) address(kind, zone, number, port int) netip.AddrPort {
@@ -209,7 +210,7 @@
 		callers, err := direct.NewCallers(direct.CallersConfig{
 			Address: d.address(kindCaller, 0, i, 0).Addr(), Port: uint16(d.base + portEntry), Layout: platform.PacketLayout(), Fabric: d.Fabric,
 			Service: service, Flows: d.config.FlowsPerService, RequestsPerFlow: 20, RequestPause: 100 * time.Millisecond, Deadline: requestDeadline,
-			Violations: d.Violations, ForbidResets: &d.ForbidResets, FirstRequestID: uint64(i/2) * requestIDBlock,
+			Violations: d.Violations, ForbidResets: &d.ForbidResets, FirstRequestID: uint64(i/2) * requestIDBlock, OnReset: d.judgeReset,
 		})
 		if err != nil {
 			return err
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -37,12 +37,13 @@
 	violations       []string
 	// observations are what a run with a share of a core has seen beyond the time bounds, which are not checked then.
 	observations []string
+	liveResets   int // resets by daemons of flows at live backend servers, with and without a disturbance
 }
 
 // summary returns the line that is printed for a run.
 func (r *runResult) summary() string {
-	return fmt.Sprintf("seed %d: %d faults, answered %d, late %d, failed %d, unopened %d, resets %d, %d ends, start-ups %s, broken guarantees %d", r.seed, len(r.faults),
-		r.callerCounts.Answered, r.callerCounts.Late, r.callerCounts.Failed, r.callerCounts.Unopened, r.callerCounts.Resets, r.ends, formatStartUps(r.startUps), len(r.violations))
+	return fmt.Sprintf("seed %d: %d faults, answered %d, late %d, failed %d, unopened %d, resets %d (%d at live backend servers), %d ends, start-ups %s, broken guarantees %d", r.seed, len(r.faults),
+		r.callerCounts.Answered, r.callerCounts.Late, r.callerCounts.Failed, r.callerCounts.Unopened, r.callerCounts.Resets, r.liveResets, r.ends, formatStartUps(r.startUps), len(r.violations))
 }
 
 // formatStartUps returns the number, the median and the longest of the start-ups.
@@ -73,6 +74,7 @@
 	evacuating           bool // a zone is evacuated
 	checksTimes          bool // bounds of times are checked
 	err                  error
+	disturbances         disturbances
 }
 
 // fault is a fault that the injector can draw.
@@ -103,6 +105,7 @@
 	}
 	in.injectFaults(o.runDuration)
 	in.checkRecovery()
+	in.result.liveResets = in.disturbances.judged
 	in.result.startUps = d.StartUps()
 	d.Stop()
 	in.result.callerCounts = d.Outcomes()
@@ -177,6 +180,7 @@
 	}
 	f := faults[in.random.IntN(len(faults))]
 	in.result.faults = append(in.result.faults, f.name)
+	in.disturbances.recordFault(time.Now(), f.name, in.inputFaults())
 	f.inject()
 }
 
@@ -199,6 +203,7 @@
 	if err := in.Supervise(); err != nil {
 		in.err = err
 	}
+	in.judgeResets(time.Now())
 }
 
 // wait waits for a duration while the supervisor follows the processes.
--- /dev/null
+++ b/tests/soak/resets.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/bluebelldyke/bluebelldyke/tests/harness/deployment"
+)
+
+const (
+	// stableTime is how long a daemon and the store must have been undisturbed for a reset of a live backend server's flow to be a violation.
+	stableTime = 4 * time.Second
+	// maxSampleInterval is the longest time between two samples of the disturbances. After a longer one, the stand-ins may not have run.
+	maxSampleInterval = 250 * time.Millisecond
+	// watchGap is the longest time for which compactStore suppresses the events of watches.
+	watchGap = 2 * time.Second
+)
+
+// storeFaults are the faults of the store and of its links that no other state of the injector shows.
+var storeFaults = []string{"restore", "compact", "store-silence", "store-reset"}
+
+// disturbances records when the parts of a deployment were disturbed last.
+type disturbances struct {
+	lastSample time.Time
+	all        time.Time
+	daemons    map[*deployment.Daemon]time.Time
+	judged     int // resets of flows at live backend servers
+}
+
+// recordFault records the disturbance by a fault that samples don't show. Inputs may drop the route of a flow.
+func (s *disturbances) recordFault(now time.Time, name string, inputs []fault) {
+	if slices.Contains(storeFaults, name) || slices.ContainsFunc(inputs, func(f fault) bool { return f.name == name }) {
+		s.all = now.Add(watchGap)
+	}
+}
+
+// isStable reports whether nothing has disturbed a daemon and the store lately.
+func (s *disturbances) isStable(now time.Time, daemon *deployment.Daemon) bool {
+	return now.Sub(s.all) >= stableTime && now.Sub(s.daemons[daemon]) >= stableTime
+}
+
+// judgeResets samples the disturbances and adds a violation for each reset of a flow whose backend server lives, if they don't explain it.
+// Backend servers are disturbed only by crashes, from which they do not return.
+func (in *injector) judgeResets(now time.Time) {
+	s := &in.disturbances
+	if s.daemons == nil {
+		s.daemons = map[*deployment.Daemon]time.Time{}
+	}
+	if in.IsStoreFailing() || !s.lastSample.IsZero() && now.Sub(s.lastSample) > maxSampleInterval {
+		s.all = later(s.all, now)
+	}
+	s.lastSample = now
+	for _, daemon := range in.Daemons {
+		if in.unavailable[daemon] || in.faultyLinks[daemon] || !daemon.IsServing() {
+			s.daemons[daemon] = now
+		}
+	}
+	for _, r := range in.TakeLiveResets() {
+		s.judged++
+		if s.isStable(now, r.Daemon) {
+			in.result.violations = append(in.result.violations, fmt.Sprintf("%s reset the flow of %s at %s, which lives; nothing has disturbed them for %s",
+				r.Daemon.Name, r.Caller, r.Backend.Server().Address, stableTime))
+		}
+	}
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/tests/standins/direct/caller.go
+++ b/tests/standins/direct/caller.go
@@ -45,6 +45,8 @@
 	FirstRequestID  uint64 // request ids are greater; callers of one service need ids of their own
 	// ForbidResets makes each reset of an open flow a violation while it is set.
 	ForbidResets *atomic.Bool
+	// OnReset is called for each reset of a flow that has opened, if it is set.
+	OnReset func(Reset)
 }
 
 // Callers is a stand-in for the callers of one service. It keeps flows open and sends requests on them.
@@ -64,6 +66,7 @@
 type receivedPacket struct {
 	packet editor.Packet
 	data   []byte
+	sender netip.Addr
 }
 
 // Counts are the outcomes of requests and flows. Late requests were answered after a retransmission; Failed and Resets count flows
@@ -103,7 +106,7 @@
 func (c *Callers) receive(ctx context.Context) error {
 	buffer := make([]byte, 2048)
 	for {
-		n, _, err := c.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := c.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
@@ -120,7 +123,7 @@
 		c.mu.Unlock()
 		if to != nil {
 			select {
-			case to <- receivedPacket{p, data}:
+			case to <- receivedPacket{p, data, from.Addr().Unmap()}:
 			default:
 			}
 		}
@@ -201,9 +204,13 @@
 				c.recordLostFlow(p, func(n *Counts) { n.Failed++ })
 				return false
 			case ok && r.packet.Flags.RST:
+				accepted := c.acceptReset(p, &r)
 				if c.config.ForbidResets.Load() {
 					c.config.Violations.Add("an open flow was reset although ForbidResets is set")
 				}
+				if !accepted {
+					continue
+				}
 				c.recordLostFlow(p, func(n *Counts) { n.Resets++ })
 				return false
 			case ok && len(r.data) > 0 && r.packet.SequenceNumber == p.AckNumber && slices.Equal(r.data[len("answer "):], data):
