tests/soak: -moves moves long flows between daemons before backend servers crash

Change: with -moves, callers keep flows for up to a minute and read some 16 KB/s on each, and the soak stops and starts a daemon, lets the flows return to it, and crashes three backend servers. The deployment is one zone with three daemons, since daemons tell only those of their zone about a crash. Without -moves a seed draws the same faults as before.

--- a/tests/harness/deployment/backends.go
+++ b/tests/harness/deployment/backends.go
@@ -45,7 +45,7 @@
 	var err error
 	b.Backend, err = direct.NewBackend(direct.BackendConfig{
 		Server: b.server, Layout: platform.PacketLayout(), CallerPort: uint16(d.base + portEntry), ServiceTime: serviceTime, Violations: d.Violations,
-		ServiceAddresses: allowed, AcknowledgeAtOnce: d.config.AcknowledgeAtOnce,
+		ServiceAddresses: allowed, AcknowledgeAtOnce: d.config.AcknowledgeAtOnce, AnswerPadding: d.answerPadding(),
 	})
 	if err != nil {
 		return nil, err
--- a/tests/harness/deployment/deployment.go
+++ b/tests/harness/deployment/deployment.go
@@ -90,6 +90,8 @@
 	LowPriorityRoutes bool
 	// AcknowledgeAtOnce makes backend servers acknowledge requests when they arrive instead of with the answers.
 	AcknowledgeAtOnce bool
+	// LongFlows makes callers keep their flows open and read many bytes on them, so that an old acknowledgement is soon outside of their window.
+	LongFlows bool
 }
 
 // Deployment is a set of running daemons with the stand-ins around them.
@@ -209,7 +211,7 @@
 	for i, service := range services {
 		callers, err := direct.NewCallers(direct.CallersConfig{
 			Address: d.address(kindCaller, 0, i, 0).Addr(), Port: uint16(d.base + portEntry), Layout: platform.PacketLayout(), Fabric: d.Fabric,
-			Service: service, Flows: d.config.FlowsPerService, RequestsPerFlow: 20, RequestPause: 100 * time.Millisecond, Deadline: requestDeadline,
+			Service: service, Flows: d.config.FlowsPerService, RequestsPerFlow: d.requestsPerFlow(), RequestPause: d.requestPause(), Deadline: requestDeadline,
 			Violations: d.Violations, ForbidResets: &d.ForbidResets, FirstRequestID: uint64(i/2) * requestIDBlock, OnReset: d.judgeReset,
 		})
 		if err != nil {
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -73,6 +73,9 @@
 	lastExtraRoute       int
 	evacuating           bool // a zone is evacuated
 	checksTimes          bool // bounds of times are checked
+	movesEnabled         bool // moves flows before backend servers crash
+	moving               bool // such a fault is active
+	zones, backends      int  // backends is the number of backend servers of ovenwatch at the start
 	err                  error
 	disturbances         disturbances
 }
@@ -91,9 +94,11 @@
 
 // runSeed starts a deployment, injects the faults that a seed draws, and checks the recovery.
 func runSeed(o options, seed uint64, linkFaults bool) (*runResult, error) {
+	size := o.size()
 	d, err := deployment.Start(deployment.Config{
-		Binaries: o.binaryDir, Zones: zones, Daemons: o.daemons, BackendsPerZone: backendsPerZone, FlowsPerService: flows, Evacuations: true,
+		Binaries: o.binaryDir, Zones: size.zones, Daemons: size.daemons, BackendsPerZone: size.backendsPerZone, FlowsPerService: size.flows, Evacuations: true,
 		Supervised: true, Share: o.share, AsDeployed: o.processFaults, LowPriorityRoutes: o.processFaults,
+		LongFlows:         o.moves,
 		AcknowledgeAtOnce: rand.New(rand.NewPCG(seed, 12)).IntN(2) == 0, // from a source of its own, so that the faults of a seed stay
 	})
 	if err != nil {
@@ -103,6 +108,7 @@
 		Deployment: d, random: rand.New(rand.NewPCG(seed, 11)), result: &runResult{seed: seed}, unavailable: map[*deployment.Daemon]bool{},
 		faultyLinks: map[*deployment.Daemon]bool{}, linkFaultsEnabled: linkFaults, processFaultsEnabled: o.processFaults, signalsAfterOutput: o.signalsAfterOutput, checksTimes: o.share == 0,
 	}
+	in.movesEnabled, in.zones, in.backends = o.moves, size.zones, size.zones*size.backendsPerZone
 	in.injectFaults(o.runDuration)
 	in.checkRecovery()
 	in.result.liveResets = in.disturbances.judged
@@ -179,6 +185,9 @@
 		faults = append(faults, in.inputFaults()...)
 	}
 	f := faults[in.random.IntN(len(faults))]
+	if in.movesEnabled && (!in.moving || slices.Contains(daemonFaults, f.name)) {
+		f = fault{"move-crash", in.crashAfterMove}
+	}
 	in.result.faults = append(in.result.faults, f.name)
 	in.disturbances.recordFault(time.Now(), f.name, in.inputFaults())
 	f.inject()
@@ -263,7 +272,7 @@
 // pickBackend returns a random backend server of ovenwatch, or nil if no more than half of them are left.
 func (in *injector) pickBackend() *deployment.Backend {
 	list := in.Backends("ovenwatch")
-	if len(list) <= zones*backendsPerZone/2 {
+	if len(list) <= in.backends/2 {
 		return nil
 	}
 	return list[in.random.IntN(len(list))]
@@ -278,7 +287,7 @@
 func (in *injector) drainBackend() {
 	if server := in.pickBackend(); server != nil {
 		in.Drain(server)
-		in.addBackend(in.random.IntN(zones))
+		in.addBackend(in.random.IntN(in.zones))
 		in.schedule(4*time.Second, 6*time.Second, func() { in.Crash(server) })
 	}
 }
@@ -286,7 +295,7 @@
 func (in *injector) crashBackend() {
 	if server := in.pickBackend(); server != nil {
 		in.Crash(server)
-		zone := in.random.IntN(zones)
+		zone := in.random.IntN(in.zones)
 		in.schedule(time.Second, 4*time.Second, func() { in.addBackend(zone) })
 	}
 }
@@ -313,8 +322,8 @@
 
 // evacuateZone evacuates a zone for a random time. The evacuation may be revoked before its bound or after it.
 func (in *injector) evacuateZone() {
-	zone := in.random.IntN(zones)
-	if in.evacuating {
+	zone := in.random.IntN(in.zones)
+	if in.evacuating || in.zones == 1 {
 		return
 	}
 	in.evacuating = true
--- a/tests/soak/inputs.go
+++ b/tests/soak/inputs.go
@@ -162,7 +162,7 @@
 // addOddBackends adds backend servers that answer and state numbers of slots whose sum overflows, or odd incarnations.
 func (in *injector) addOddBackends() {
 	for range 1 + in.random.IntN(3) {
-		server, err := in.AddChangedBackend("ovenwatch", in.random.IntN(zones), func(b *directory.BackendServer) {
+		server, err := in.AddChangedBackend("ovenwatch", in.random.IntN(in.zones), func(b *directory.BackendServer) {
 			b.Slots = []int{2, 1 << 31, 1 << 53, 1 << 62, math.MaxInt64}[in.random.IntN(5)]
 			b.Incarnation = []int64{0, -1 << 62, 1 << 62, math.MinInt64, math.MaxInt64, b.Incarnation}[in.random.IntN(6)]
 			b.RemainingWarmUp = time.Duration(in.random.IntN(3)) * time.Hour
--- a/tests/soak/links.go
+++ b/tests/soak/links.go
@@ -78,7 +78,7 @@
 
 // cutZone separates the daemons of an availability zone from those of the others, unless any daemon has a link fault.
 func (in *injector) cutZone() {
-	zone := in.random.IntN(zones)
+	zone := in.random.IntN(in.zones)
 	for _, daemon := range in.Daemons {
 		if in.faultyLinks[daemon] {
 			return
--- a/tests/soak/resets.go
+++ b/tests/soak/resets.go
@@ -15,11 +15,28 @@
 	maxSampleInterval = 250 * time.Millisecond
 	// watchGap is the longest time for which compactStore suppresses the events of watches.
 	watchGap = 2 * time.Second
+	// crashesAfterMove is the number of backend servers that crash after flows have moved to another daemon and back.
+	crashesAfterMove = 3
 )
 
 // storeFaults are the faults of the store and of its links that no other state of the injector shows.
 var storeFaults = []string{"restore", "compact", "store-silence", "store-reset"}
 
+// daemonFaults end or pause daemons, which would then forget the flows that have moved.
+var daemonFaults = []string{"stop", "kill", "kill-all", "pause"}
+
+// size is the size of a deployment.
+type size struct{ zones, daemons, backendsPerZone, flows int }
+
+// size returns the size of the deployments. Daemons tell only those of their own zone that a backend server has crashed, so that flows move within
+// a single zone.
+func (o *options) size() size {
+	if o.moves {
+		return size{zones: 1, daemons: 3, backendsPerZone: 14, flows: 64}
+	}
+	return size{zones: zones, daemons: o.daemons, backendsPerZone: backendsPerZone, flows: flows}
+}
+
 // disturbances records when the parts of a deployment were disturbed last.
 type disturbances struct {
 	lastSample time.Time
@@ -35,6 +52,23 @@
 	}
 }
 
+// crashAfterMove stops a daemon, starts it again, and crashes backend servers once the flows that had moved to other daemons are back.
+func (in *injector) crashAfterMove() {
+	daemon := in.pickDaemon()
+	if in.moving || daemon == nil {
+		return
+	}
+	in.moving = true
+	in.unavailable[daemon] = true
+	in.Hold(daemon)
+	daemon.Terminate()
+	in.schedule(2*time.Second, 4*time.Second, func() { in.restartDaemon(daemon) })
+	for range crashesAfterMove {
+		in.schedule(9*time.Second, 11*time.Second, in.crashBackend)
+	}
+	in.schedule(11*time.Second, 12*time.Second, func() { in.moving = false })
+}
+
 // isStable reports whether nothing has disturbed a daemon and the store lately.
 func (s *disturbances) isStable(now time.Time, daemon *deployment.Daemon) bool {
 	return now.Sub(s.all) >= stableTime && now.Sub(s.daemons[daemon]) >= stableTime
--- a/tests/standins/direct/backend.go
+++ b/tests/standins/direct/backend.go
@@ -50,6 +50,7 @@
 	ServiceAddresses map[netip.AddrPort]bool
 	// AcknowledgeAtOnce makes it acknowledge each request when it arrives. Without it the answer acknowledges the request.
 	AcknowledgeAtOnce bool
+	AnswerPadding     int // bytes of an answer after the request that it repeats
 }
 
 // Answers are retransmitted like requests, as callers send an acknowledged request only once.
@@ -237,7 +238,9 @@
 		if b.config.AcknowledgeAtOnce {
 			b.send(&p, editor.Flags{ACK: true}, f.ownSequence, f.expectedSequence, nil)
 		}
-		time.AfterFunc(b.config.ServiceTime, func() { b.sendAnswer(p, f, append([]byte("answer "), data...)) })
+		time.AfterFunc(b.config.ServiceTime, func() {
+			b.sendAnswer(p, f, append(append([]byte("answer "), data...), make([]byte, b.config.AnswerPadding)...))
+		})
 	// A retransmission of the last request: the answer was lost.
 	case len(data) > 0 && f.lastAnswer != nil && p.SequenceNumber+uint32(p.DataLength) == f.expectedSequence:
 		b.send(&p, editor.Flags{ACK: true}, f.ownSequence-uint32(len(f.lastAnswer)+checksumSize), f.expectedSequence, f.lastAnswer)
--- a/tests/standins/direct/caller.go
+++ b/tests/standins/direct/caller.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"net"
@@ -213,7 +214,7 @@
 				}
 				c.recordLostFlow(p, func(n *Counts) { n.Resets++ })
 				return false
-			case ok && len(r.data) > 0 && r.packet.SequenceNumber == p.AckNumber && slices.Equal(r.data[len("answer "):], data):
+			case ok && len(r.data) > 0 && r.packet.SequenceNumber == p.AckNumber && bytes.HasPrefix(r.data[len("answer "):], data):
 				p.Tag = r.packet.Tag
 				p.SequenceNumber += uint32(len(data) + checksumSize)
 				p.AckNumber += uint32(r.packet.DataLength)
