tests/standins/direct: callers compare the whole answer again

With the padding of answers for the soak's moved flows, callers compared a prefix, so that an answer with further bytes would have passed.

--- a/tests/harness/deployment/deployment.go
+++ b/tests/harness/deployment/deployment.go
@@ -212,7 +212,7 @@
 		callers, err := direct.NewCallers(direct.CallersConfig{
 			Address: d.address(kindCaller, 0, i, 0).Addr(), Port: uint16(d.base + portEntry), Layout: platform.PacketLayout(), Fabric: d.Fabric,
 			Service: service, Flows: d.config.FlowsPerService, RequestsPerFlow: d.requestsPerFlow(), RequestPause: d.requestPause(), Deadline: requestDeadline,
-			Violations: d.Violations, ForbidResets: &d.ForbidResets, FirstRequestID: uint64(i/2) * requestIDBlock, OnReset: d.judgeReset,
+			AnswerPadding: d.answerPadding(), Violations: d.Violations, ForbidResets: &d.ForbidResets, FirstRequestID: uint64(i/2) * requestIDBlock, OnReset: d.judgeReset,
 		})
 		if err != nil {
 			return err
--- a/tests/standins/direct/caller.go
+++ b/tests/standins/direct/caller.go
@@ -42,6 +42,7 @@
 	RequestsPerFlow int           // after which a flow is closed
 	RequestPause    time.Duration // between two requests
 	Deadline        time.Duration // of a request, after which its flow counts as failed
+	AnswerPadding   int           // bytes of an answer after the request that it repeats
 	Violations      *Violations
 	FirstRequestID  uint64 // request ids are greater; callers of one service need ids of their own
 	// ForbidResets makes each reset of an open flow a violation while it is set.
@@ -191,6 +192,7 @@
 func (c *Callers) sendRequest(ctx context.Context, p *editor.Packet, in chan receivedPacket) bool {
 	data := binary.BigEndian.AppendUint64(nil, c.lastRequestID.Add(1))
 	data = append(data, make([]byte, requestPadding)...)
+	answer := append(slices.Clone(data), make([]byte, c.config.AnswerPadding)...)
 	started, acknowledged := time.Now(), false
 	for interval := firstRetransmission; ; interval *= 2 {
 		if !acknowledged {
@@ -214,7 +216,7 @@
 				}
 				c.recordLostFlow(p, func(n *Counts) { n.Resets++ })
 				return false
-			case ok && len(r.data) > 0 && r.packet.SequenceNumber == p.AckNumber && bytes.HasPrefix(r.data[len("answer "):], data):
+			case ok && len(r.data) > 0 && r.packet.SequenceNumber == p.AckNumber && bytes.Equal(r.data[len("answer "):], answer):
 				p.Tag = r.packet.Tag
 				p.SequenceNumber += uint32(len(data) + checksumSize)
 				p.AckNumber += uint32(r.packet.DataLength)
