--- a/routers/operator/operator_test.go
+++ b/routers/operator/operator_test.go
@@ -45,13 +45,8 @@
 
 // startServer runs a server until the test ends, and returns a client that is connected to it.
 func startServer(t *testing.T, f fakeSource) *operator.Client {
-	return startConfigured(t, operator.Config{Status: f, Audit: f})
-}
-
-func startConfigured(t *testing.T, c operator.Config) *operator.Client {
 	g := NewWithT(t)
-	c.Bind, c.Logger = loopback, zap.NewNop()
-	server := operator.New(c)
+	server := operator.New(operator.Config{Bind: loopback, Status: f, Audit: f, Logger: zap.NewNop()})
 	ctx, cancel := context.WithCancel(t.Context())
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return server.Run(ctx) })
