runner: the fuzz target of messages hung on timers that arm themselves again

The bubble is taken out. A lock of the test now keeps the timers, which put documents and findings in force, and the packets apart; -race passes (1.6 s).

--- a/internal/direct/runner/messages_test.go
+++ b/internal/direct/runner/messages_test.go
@@ -5,8 +5,8 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -46,12 +46,49 @@
 func (fuzzedPeers) ZoneMembers() []netip.AddrPort          { return []netip.AddrPort{fuzzedSelf, fuzzedPeer} }
 func (fuzzedPeers) Notify(_ netip.AddrPort, _ []byte) bool { return true }
 
+// lockedSink puts documents and findings in force while nothing else uses the Steerer: timers of the follower and the reporter do so, too.
+type lockedSink struct {
+	followerSink
+	mu *sync.Mutex
+}
+
+func (s lockedSink) SetConfiguration(c *directory.Configuration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.followerSink.SetConfiguration(c)
+}
+
+func (s lockedSink) SetBackendList(l *directory.BackendList) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.followerSink.SetBackendList(l)
+}
+
+func (s lockedSink) SetEvacuations(zones []string, revokedAt map[string]time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.followerSink.SetEvacuations(zones, revokedAt)
+}
+
+// lockedFindings does the same for the findings of the reporter.
+type lockedFindings struct {
+	*transporter.Transporter
+	mu *sync.Mutex
+}
+
+func (s lockedFindings) AddFindings(findings []steerer.Finding) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Transporter.AddFindings(findings)
+}
+
 // fuzzedDaemon is what handles messages of peers and puts them in force. Nothing in it contains panics.
 type fuzzedDaemon struct {
 	*steerer.Steerer
 	reporter *reporter.Reporter
 	gossiper *gossiper.Gossiper
 	now      time.Time
+	mu       *sync.Mutex // guards the Steerer
 }
 
 func newFuzzedDaemon(conn *net.UDPConn, linkRate float64) *fuzzedDaemon {
@@ -61,14 +98,15 @@
 		Admission:   steerer.AdmissionConfig{Enabled: true, Shared: true, MaxHeldPackets: 4, MaxHeldBytes: 4000, PacketOverhead: 31},
 	})
 	t := transporter.New(transporter.Config{EntryConn: conn, Steerer: s, Recorder: recorder.New(recorder.Config{Logger: zap.NewNop(), LinesPerSecond: 1})})
-	r := reporter.New(reporter.Config{Peers: fuzzedPeers{}, Sink: t, Logger: zap.NewNop(), AvailabilityZone: "a", References: t})
+	mu := &sync.Mutex{}
+	r := reporter.New(reporter.Config{Peers: fuzzedPeers{}, Sink: lockedFindings{t, mu}, Logger: zap.NewNop(), AvailabilityZone: "a", References: t})
 	r.SetFollower(follower.New(follower.Config{
-		Sink: followerSink{t, r}, Peers: fuzzedPeers{}, Logger: zap.NewNop(), AvailabilityZone: "a", AvailabilityZones: []string{"a", "b"},
+		Sink: lockedSink{followerSink{t, r}, mu}, Peers: fuzzedPeers{}, Logger: zap.NewNop(), AvailabilityZone: "a", AvailabilityZones: []string{"a", "b"},
 		StalenessBounds:   follower.StalenessBounds{BackendList: time.Hour, Configuration: time.Hour, Evacuations: time.Hour},
 		LimitsColdServers: true, TracksWarmUp: true, HandleDigest: t.AddDigest, HandleAdmissionReport: t.AddAdmissionReport, LinkRate: linkRate,
 	}))
 	g := gossiper.New(gossiper.Config{Self: fuzzedSelf, AvailabilityZone: "a", Random: rand.New(rand.NewPCG(1, 1))})
-	return &fuzzedDaemon{s, r, g, time.Now()}
+	return &fuzzedDaemon{s, r, g, time.Now(), mu}
 }
 
 // receive handles a message as a notice and as one about membership.
@@ -83,6 +121,8 @@
 
 // steer sends two packets and does the periodic work.
 func (d *fuzzedDaemon) steer(route netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	p := editor.Packet{Source: netip.MustParseAddrPort("100.64.0.7:1"), Destination: route, Flags: editor.Flags{SYN: true}}
 	p.Tag = d.Steer(d.now, &p).Tag
 	p.Flags, p.DataLength = editor.Flags{ACK: true}, 10
@@ -106,16 +146,14 @@
 	route := netip.MustParseAddrPort("198.18.0.1:443")
 	f.Add(slices.Concat(framed(fuzzedMessages(f, route))...))
 	f.Add([]byte{0, 4, 0x82, 0x18, 41, 0x80})
-	f.Fuzz(func(t *testing.T, b []byte) {
-		synctest.Test(t, func(*testing.T) { // timers of the follower run only while nothing else does
-			d := newFuzzedDaemon(conn, float64(len(b)%2)*1e6)
-			for n := 0; len(b) > 2 && n < 12; n++ {
-				size := min(int(b[0])<<8+int(b[1]), len(b)-2)
-				d.receive(b[2 : 2+size])
-				b = b[2+size:]
-			}
-			d.steer(route)
-		})
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		d := newFuzzedDaemon(conn, float64(len(b)%2)*1e6)
+		for n := 0; len(b) > 2 && n < 12; n++ {
+			size := min(int(b[0])<<8+int(b[1]), len(b)-2)
+			d.receive(b[2 : 2+size])
+			b = b[2+size:]
+		}
+		d.steer(route)
 	})
 }
 
@@ -130,16 +168,14 @@
 	messages := fuzzedMessages(t, route)
 	for seed := range mutator.Seeds() {
 		random := rand.New(rand.NewPCG(seed, 2))
-		synctest.Test(t, func(t *testing.T) {
-			d := newFuzzedDaemon(conn, float64(random.IntN(2))*1e6)
-			for i := range messages[:2] { // the documents
-				d.receive(mutator.Mutate(t, random, messages[i]))
-			}
-			for range 8 {
-				d.receive(mutator.Mutate(t, random, messages[random.IntN(len(messages))]))
-			}
-			d.steer(route)
-		})
+		d := newFuzzedDaemon(conn, float64(random.IntN(2))*1e6)
+		for i := range messages[:2] { // the documents
+			d.receive(mutator.Mutate(t, random, messages[i]))
+		}
+		for range 8 {
+			d.receive(mutator.Mutate(t, random, messages[random.IntN(len(messages))]))
+		}
+		d.steer(route)
 	}
 }
 
