tests/soak: -moves moves flows without a change of the membership

The soak moved flows only by stops of daemons, which the membership shows, with one rate for all flows, and its frequent link faults changed the membership all the time. -moves now also loses the readiness checks of one or two of the three daemons while flows send a request each 0.8 s, returns the flows, lets them send one each 30 ms, and crashes backend servers 5 s later. The fabric stand-in can lose checks and choose by the hash modulo the daemons in rotation. Daemons run with the settings of the deploy template, and other faults are rarer while flows move.

--- a/tests/harness/deployment/flows.go
+++ b/tests/harness/deployment/flows.go
@@ -31,3 +31,10 @@
 	}
 	return 0
 }
+
+// SetRequestPause sets the pause between two requests of a flow.
+func (d *Deployment) SetRequestPause(pause time.Duration) {
+	for _, c := range d.Callers {
+		c.SetPause(pause)
+	}
+}
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -97,7 +97,7 @@
 	size := o.size()
 	d, err := deployment.Start(deployment.Config{
 		Binaries: o.binaryDir, Zones: size.zones, Daemons: size.daemons, BackendsPerZone: size.backendsPerZone, FlowsPerService: size.flows, Evacuations: true,
-		Supervised: true, Share: o.share, AsDeployed: o.processFaults, LowPriorityRoutes: o.processFaults,
+		Supervised: true, Share: o.share, AsDeployed: o.processFaults || o.moves, LowPriorityRoutes: o.processFaults,
 		LongFlows:         o.moves,
 		AcknowledgeAtOnce: rand.New(rand.NewPCG(seed, 12)).IntN(2) == 0, // from a source of its own, so that the faults of a seed stay
 	})
@@ -185,8 +185,10 @@
 		faults = append(faults, in.inputFaults()...)
 	}
 	f := faults[in.random.IntN(len(faults))]
-	if in.movesEnabled && (!in.moving || slices.Contains(daemonFaults, f.name)) {
+	if in.movesEnabled && !in.moving {
 		f = fault{"move-crash", in.crashAfterMove}
+	} else if in.movesEnabled && (slices.Contains(daemonFaults, f.name) || in.random.IntN(otherFaultDivisor) > 0) {
+		return
 	}
 	in.result.faults = append(in.result.faults, f.name)
 	in.disturbances.recordFault(time.Now(), f.name, in.inputFaults())
--- a/tests/soak/resets.go
+++ b/tests/soak/resets.go
@@ -17,6 +17,11 @@
 	watchGap = 2 * time.Second
 	// crashesAfterMove is the number of backend servers that crash after flows have moved to another daemon and back.
 	crashesAfterMove = 3
+	// otherFaultDivisor is how many times fewer other faults are drawn while flows move: most of them show in the membership.
+	otherFaultDivisor = 8
+	// slowPause and fastPause are the pauses between two requests of a flow while it moves and afterwards.
+	slowPause = 800 * time.Millisecond
+	fastPause = 30 * time.Millisecond
 )
 
 // storeFaults are the faults of the store and of its links that no other state of the injector shows.
@@ -52,13 +57,27 @@
 	}
 }
 
-// crashAfterMove stops a daemon, starts it again, and crashes backend servers once the flows that had moved to other daemons are back.
+// crashAfterMove moves flows to other daemons and back, and then crashes backend servers. The flows move because a daemon stops and starts
+// again, or because the readiness checks of daemons are lost, which the membership does not show. In the second case the flows are slow while
+// they move and fast afterwards.
 func (in *injector) crashAfterMove() {
-	daemon := in.pickDaemon()
-	if in.moving || daemon == nil {
+	if in.moving {
 		return
 	}
 	in.moving = true
+	if in.random.IntN(3) == 0 {
+		in.stopBeforeCrash()
+	} else {
+		in.loseProbesBeforeCrash()
+	}
+	in.schedule(13*time.Second, 14*time.Second, func() { in.moving = false })
+}
+
+func (in *injector) stopBeforeCrash() {
+	daemon := in.pickDaemon()
+	if daemon == nil {
+		return
+	}
 	in.unavailable[daemon] = true
 	in.Hold(daemon)
 	daemon.Terminate()
@@ -66,7 +85,24 @@
 	for range crashesAfterMove {
 		in.schedule(9*time.Second, 11*time.Second, in.crashBackend)
 	}
-	in.schedule(11*time.Second, 12*time.Second, func() { in.moving = false })
+}
+
+// loseProbesBeforeCrash loses the readiness checks of one daemon or of two of the three, so that the fabric uses all again.
+func (in *injector) loseProbesBeforeCrash() {
+	in.Fabric.SetModulo(in.random.IntN(2) == 0)
+	in.SetRequestPause(slowPause)
+	moved := in.random.Perm(len(in.Daemons))[:1+in.random.IntN(2)]
+	setLost := func(lost bool) {
+		for _, i := range moved {
+			in.Fabric.SetProbesLost(in.Daemons[i].ReadinessAddress(), lost)
+		}
+	}
+	in.schedule(time.Second, 2*time.Second, func() { setLost(true) })
+	in.schedule(5*time.Second, 6*time.Second, func() { setLost(false) })
+	in.schedule(6500*time.Millisecond, 7*time.Second, func() { in.SetRequestPause(fastPause) })
+	for range crashesAfterMove {
+		in.schedule(11*time.Second, 13*time.Second, in.crashBackend)
+	}
 }
 
 // isStable reports whether nothing has disturbed a daemon and the store lately.
--- a/tests/standins/direct/caller.go
+++ b/tests/standins/direct/caller.go
@@ -57,6 +57,7 @@
 	conn          *net.UDPConn
 	lastPort      atomic.Uint32
 	lastRequestID atomic.Uint64
+	pause         atomic.Int64 // between two requests
 
 	mu          sync.Mutex
 	flows       map[uint16]chan receivedPacket
@@ -84,9 +85,13 @@
 	callers := &Callers{config: c, conn: conn, flows: map[uint16]chan receivedPacket{}, answerTimes: hdrhistogram.New(1, maxLatencyMicros, significantDigits)}
 	callers.lastPort.Store(20000)
 	callers.lastRequestID.Store(c.FirstRequestID)
+	callers.SetPause(c.RequestPause)
 	return callers, nil
 }
 
+// SetPause sets the pause between two requests from the next one of each flow on.
+func (c *Callers) SetPause(pause time.Duration) { c.pause.Store(int64(pause)) }
+
 // Run keeps the flows open until ctx ends.
 func (c *Callers) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -149,7 +154,7 @@
 		return
 	}
 	for range c.config.RequestsPerFlow {
-		if !c.sendRequest(ctx, &p, in) || !sleep(ctx, c.config.RequestPause) {
+		if !c.sendRequest(ctx, &p, in) || !sleep(ctx, time.Duration(c.pause.Load())) {
 			return
 		}
 	}
--- a/tests/standins/direct/fabric.go
+++ b/tests/standins/direct/fabric.go
@@ -28,16 +28,44 @@
 	mu           sync.Mutex
 	missedProbes []int
 	inRotation   []bool
+	lostProbes   []bool
+	modulo       bool
+	panicShare   float64
 }
 
 // NewFabric returns a fabric. A daemon is in rotation after its first successful readiness check.
 func NewFabric(targets []Target) *Fabric {
-	f := &Fabric{targets: targets, missedProbes: make([]int, len(targets)), inRotation: make([]bool, len(targets))}
+	f := &Fabric{targets: targets, missedProbes: make([]int, len(targets)), inRotation: make([]bool, len(targets)), lostProbes: make([]bool, len(targets))}
 	f.client.Timeout = probeInterval
 	f.client.Transport = &http.Transport{DisableKeepAlives: true}
 	return f
 }
 
+// SetModulo makes the fabric choose by the hash of the flow modulo the number of daemons in rotation. Nearly all flows move when it changes.
+func (f *Fabric) SetModulo(modulo bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.modulo = modulo
+}
+
+// SetPanicShare makes the fabric use all daemons while a smaller share of them is in rotation. At first it does so only while none is.
+func (f *Fabric) SetPanicShare(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.panicShare = share
+}
+
+// SetProbesLost makes the checks at a readiness address get no answer, although the process runs.
+func (f *Fabric) SetProbesLost(readiness netip.AddrPort, lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, t := range f.targets {
+		if t.Readiness == readiness {
+			f.lostProbes[i] = lost
+		}
+	}
+}
+
 // Run checks the readiness of the daemons until ctx ends.
 func (f *Fabric) Run(ctx context.Context) error {
 	ticker := time.NewTicker(probeInterval)
@@ -67,7 +95,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if ok {
+	if ok && !f.lostProbes[i] {
 		f.missedProbes[i], f.inRotation[i] = 0, true
 		return
 	}
@@ -94,17 +122,26 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	flow := ranker.PairScore(ranker.Hash(caller), ranker.Hash(service))
-	best, bestScore, anyReady := 0, uint64(0), false
-	for _, ready := range f.inRotation {
-		anyReady = anyReady || ready
-	}
+	used := make([]netip.AddrPort, 0, len(f.targets))
 	for i, t := range f.targets {
-		if anyReady && !f.inRotation[i] {
-			continue
+		if f.inRotation[i] {
+			used = append(used, t.Entry)
+		}
+	}
+	if len(used) == 0 || float64(len(used)) < f.panicShare*float64(len(f.targets)) {
+		used = used[:0]
+		for _, t := range f.targets {
+			used = append(used, t.Entry)
 		}
-		if r := ranker.PairScore(flow, ranker.Hash(t.Entry)); r >= bestScore {
+	}
+	if f.modulo {
+		return used[flow%uint64(len(used))]
+	}
+	best, bestScore := 0, uint64(0)
+	for i, entry := range used {
+		if r := ranker.PairScore(flow, ranker.Hash(entry)); r >= bestScore {
 			best, bestScore = i, r
 		}
 	}
-	return f.targets[best].Entry
+	return used[best]
 }
