services/inquirer: a daemon asks the others of its zone before it resets idle flows

Cause: a daemon resets idle flows of a lost backend server with the newest acknowledgement that it has seen, however old that is.

Change: the daemon asks all daemons of the zone when they last saw the flow, and resets it only if none has seen it since, none has forgotten flows of that time, all know the same daemons, and the zone had no time without packets, in which other zones may have got them. The acknowledgement is the newest that any of them has forwarded. Why that keeps the rule: a backend server sends at most 16 packets beyond the newest acknowledgement that has reached it, and acknowledgements reach it through the daemons only, so the client is at most 19,200 of 76,800 bytes ahead. A daemon that does not answer must not have announced takeovers of flows since; daemons announce those at once. Open is a daemon that reaches none of its peers while the fabric goes on sending to it. Flows that are left alone are reset with their next packet.

Weighed: no idle resets costs requests that cannot be repeated; a time bound from the protocol is a few round trips; readiness checks that arrive do not show that their answers do.

--- a/internal/direct/runner/messages_test.go
+++ b/internal/direct/runner/messages_test.go
@@ -26,6 +26,7 @@
 	"github.com/bluebelldyke/bluebelldyke/services/estimator"
 	"github.com/bluebelldyke/bluebelldyke/services/evacuator"
 	"github.com/bluebelldyke/bluebelldyke/services/gossiper"
+	"github.com/bluebelldyke/bluebelldyke/services/inquirer"
 	"github.com/bluebelldyke/bluebelldyke/services/limiter"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 	"github.com/bluebelldyke/bluebelldyke/tests/harness/mutator"
@@ -82,6 +83,30 @@
 	s.Transporter.AddFindings(findings)
 }
 
+// lockedFlows does the same for queries about flows.
+type lockedFlows struct {
+	*transporter.Transporter
+	mu *sync.Mutex
+}
+
+func (s lockedFlows) AnswerQuery(q *inquirer.Query) (inquirer.Reply, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Transporter.AnswerQuery(q)
+}
+
+func (s lockedFlows) AddReply(from netip.AddrPort, r *inquirer.Reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Transporter.AddReply(from, r)
+}
+
+func (s lockedFlows) AddTakeover(from netip.AddrPort, hold time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Transporter.AddTakeover(from, hold)
+}
+
 // fuzzedDaemon is what handles messages of peers and puts them in force. Nothing in it contains panics.
 type fuzzedDaemon struct {
 	*steerer.Steerer
@@ -99,7 +124,7 @@
 	})
 	t := transporter.New(transporter.Config{EntryConn: conn, Steerer: s, Recorder: recorder.New(recorder.Config{Logger: zap.NewNop(), LinesPerSecond: 1})})
 	mu := &sync.Mutex{}
-	r := reporter.New(reporter.Config{Peers: fuzzedPeers{}, Sink: lockedFindings{t, mu}, Logger: zap.NewNop(), AvailabilityZone: "a", References: t})
+	r := reporter.New(reporter.Config{Peers: fuzzedPeers{}, Sink: lockedFindings{t, mu}, Logger: zap.NewNop(), AvailabilityZone: "a", References: t, Flows: lockedFlows{t, mu}})
 	r.SetFollower(follower.New(follower.Config{
 		Sink: lockedSink{followerSink{t, r}, mu}, Peers: fuzzedPeers{}, Logger: zap.NewNop(), AvailabilityZone: "a", AvailabilityZones: []string{"a", "b"},
 		StalenessBounds:   follower.StalenessBounds{BackendList: time.Hour, Configuration: time.Hour, Evacuations: time.Hour},
@@ -130,7 +155,10 @@
 	d.TakeFindings(d.now)
 	d.TakeDigest(d.now)
 	d.TakeAdmissionReports(d.now)
+	d.SetForwarders(fuzzedSelf, []netip.AddrPort{fuzzedSelf, fuzzedPeer}, nil)
 	d.TakeLostFlows(d.now)
+	d.TakeQueries(d.now)
+	d.TakeTakeover(d.now)
 	d.Sweep(d.now)
 	d.ServerStates(d.now)
 }
@@ -232,6 +260,9 @@
 	add([]byte{0x82, 0x18, 40, 0x81, 0x86, 1, 0, 3, 3, 2, 0xf5}, nil)
 	add([]byte{0x82, 0x18, 42, 0x83, 1, 0, 2}, nil)
 	target := []byte{10, 1, 0, 3, 232, 28}
+	add(cbor.Marshal([]any{43, []any{7, []any{[]any{target, target}}}}))
+	add(cbor.Marshal([]any{45, []any{2_000_000}}))
+	add(cbor.Marshal([]any{44, []any{1, 5_000_000, 3, []any{1, 2, 3, 4}, []any{[]any{true, 2_000_000, true, 5000}}}}))
 	add(cbor.Marshal([]any{41, []any{target, []any{target}, []any{[]any{1, 0, 3, 3, 2, true}}}}))
 	address := []byte{4, 10, 1, 0, 3, 28, 232}
 	for kind := packer.KindPing; kind <= packer.KindPingRequest; kind++ {
--- a/internal/direct/transporter/counts.go
+++ b/internal/direct/transporter/counts.go
@@ -141,5 +141,8 @@
 	if err := t.registerPoolMetrics(m); err != nil {
 		return err
 	}
+	if err := t.registerInquiryMetrics(m); err != nil {
+		return err
+	}
 	return t.registerPlacementMetrics(m)
 }
--- a/internal/direct/transporter/report.go
+++ b/internal/direct/transporter/report.go
@@ -10,9 +10,13 @@
 // reportSoon makes runTicks take findings and resets without waiting for the next tick if the evidence has changed, or if due is set. The
 // caller holds mu.
 func (t *Transporter) reportSoon(due bool) {
-	if !t.c.Steerer.TakeEvidenceChanged() && !due || !t.c.ReportAtOnce {
-		return
+	if (t.c.Steerer.TakeEvidenceChanged() || due) && t.c.ReportAtOnce {
+		t.wakeTicks()
 	}
+}
+
+// wakeTicks makes runTicks do the periodic work without waiting for the next tick.
+func (t *Transporter) wakeTicks() {
 	select {
 	case t.wake <- struct{}{}:
 	default:
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -22,6 +22,7 @@
 	"github.com/bluebelldyke/bluebelldyke/modules/sleeper"
 	"github.com/bluebelldyke/bluebelldyke/modules/supervisor"
 	"github.com/bluebelldyke/bluebelldyke/services/estimator"
+	"github.com/bluebelldyke/bluebelldyke/services/inquirer"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
 
@@ -104,6 +105,9 @@
 	zoneMembers       func() []netip.AddrPort
 	zoneRank          func() int
 	generation        func() uint64 // of the membership
+	forwarders        func() (live, lost []netip.AddrPort)
+	announceTakeover  func(hold time.Duration)
+	sendQueries       func([]inquirer.Message)
 	sendDigest        func([]estimator.Record)
 	sendDelays        func([]steerer.AdmissionReport)
 	onSuspension      func(time.Duration)
@@ -322,34 +326,58 @@
 	resets   []steerer.LostFlow
 	digest   []estimator.Record
 	delays   []steerer.AdmissionReport
+	queries  []inquirer.Message
+	takeover time.Duration // for which an announcement of takeovers is to hold; 0 if there is none
 }
 
-// tick does the periodic work once.
-func (t *Transporter) tick(buffer []byte) {
-	t.detectSuspension()
-	var members []netip.AddrPort
+// zoneView is what the membership says about the availability zone at a tick.
+type zoneView struct {
+	members    []netip.AddrPort
+	rank       int
+	generation uint64
+	forwarders []netip.AddrPort
+	lost       []netip.AddrPort // daemons that have failed lately
+}
+
+// zoneView returns the view of the membership.
+func (t *Transporter) zoneView() zoneView {
+	var v zoneView
 	if t.zoneMembers != nil {
-		members = t.zoneMembers()
+		v.members = t.zoneMembers()
 	}
-	rank := 0
 	if t.zoneRank != nil {
-		rank = t.zoneRank()
+		v.rank = t.zoneRank()
 	}
-	var generation uint64
 	if t.generation != nil {
-		generation = t.generation()
+		v.generation = t.generation()
+	}
+	if t.forwarders != nil {
+		v.forwarders, v.lost = t.forwarders()
 	}
+	return v
+}
+
+// tick does the periodic work once.
+func (t *Transporter) tick(buffer []byte) {
+	t.detectSuspension()
+	view := t.zoneView()
 	var d due
 	t.guarded(tickBoundary, func(now time.Time) {
 		if t.repairPending {
 			t.repair(now)
 		}
-		d = t.takeDue(now, members, rank, generation)
+		d = t.takeDue(now, view)
 	})
 	for i := range d.resets {
 		t.sendReset(buffer, &d.resets[i].Packet)
 	}
 	t.counts.idleResets.Add(uint64(len(d.resets)))
+	if len(d.queries) > 0 && t.sendQueries != nil {
+		t.sendQueries(d.queries)
+	}
+	if d.takeover > 0 && t.announceTakeover != nil {
+		t.announceTakeover(d.takeover)
+	}
 	if len(d.findings) > 0 && t.reportFindings != nil {
 		t.reportFindings(d.findings)
 	}
@@ -359,13 +387,18 @@
 	t.reportDelays(d.delays)
 }
 
-// takeDue takes from the Steerer what is due at a tick, for the members, the rank and the generation of the membership. The caller holds mu.
-func (t *Transporter) takeDue(now time.Time, members []netip.AddrPort, rank int, generation uint64) due {
+// takeDue takes from the Steerer what is due at a tick. The caller holds mu.
+func (t *Transporter) takeDue(now time.Time, view zoneView) due {
 	t.detectPause(now)
-	t.c.Steerer.SetZoneMembers(now, t.self, members)
-	t.c.Steerer.SetZoneRank(rank)
-	t.c.Steerer.SetMembershipGeneration(now, generation)
+	t.c.Steerer.SetZoneMembers(now, t.self, view.members)
+	t.c.Steerer.SetZoneRank(view.rank)
+	t.c.Steerer.SetMembershipGeneration(now, view.generation)
+	if t.forwarders != nil {
+		t.c.Steerer.SetForwarders(t.self, view.forwarders, view.lost)
+	}
 	d := due{findings: t.c.Steerer.TakeFindings(now), resets: t.c.Steerer.TakeLostFlows(now), digest: t.c.Steerer.TakeDigest(now), delays: t.c.Steerer.TakeAdmissionReports(now)}
+	d.queries = t.c.Steerer.TakeQueries(now)
+	d.takeover, _ = t.c.Steerer.TakeTakeover(now)
 	t.c.Recorder.LogFindings(recorder.FoundBySelf, d.findings)
 	for i := range d.resets {
 		t.c.Recorder.LogIdleReset(&d.resets[i])
--- a/routers/peers/members.go
+++ b/routers/peers/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/bluebelldyke/bluebelldyke/models/fleet"
 	"github.com/bluebelldyke/bluebelldyke/modules/packer"
@@ -16,6 +17,14 @@
 	return p.gossiper.ZoneMembers()
 }
 
+// ZoneForwarders returns the members of the own availability zone to which the fabric may send packets, and those that have failed lately; see
+// gossiper.Gossiper.ZoneForwarders.
+func (p *Peers) ZoneForwarders() (live, lost []netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gossiper.ZoneForwarders(time.Now())
+}
+
 // Generation returns a number that changes when the fabric may send flows to other daemons than before; see gossiper.Gossiper.Generation.
 func (p *Peers) Generation() uint64 {
 	p.mu.Lock()
--- a/services/gossiper/gossiper.go
+++ b/services/gossiper/gossiper.go
@@ -43,6 +43,8 @@
 	// tombstoneLifetime is how long a dead member is kept as a tombstone. It exceeds the minutes for which regions can lose
 	// contact.
 	tombstoneLifetime = 10 * time.Minute
+	// lostTTL is how long a member that has failed matters to the flows that it may have carried: they are kept for a minute at most.
+	lostTTL = time.Minute
 	// joinPeriods is the number of probe periods in which a new daemon requests introductions. It gets four acks with 30
 	// members each per period. In a zone of 420 members it thereby learns of more than 99% of them.
 	joinPeriods = 20
@@ -274,6 +276,23 @@
 	return list
 }
 
+// ZoneForwarders returns the members of the own availability zone to which the fabric may send packets, including this daemon: the live ones,
+// also while they leave. lost are those that were declared dead without having announced their stop less than lostTTL ago: they may have
+// forwarded packets until then, and may still run out of reach of the others.
+func (g *Gossiper) ZoneForwarders(now time.Time) (live, lost []netip.AddrPort) {
+	live = append(live, g.self.Address)
+	for _, a := range g.memberOrder {
+		switch m := g.members[a]; {
+		case m.AvailabilityZone != g.self.AvailabilityZone:
+		case m.isLive():
+			live = append(live, a)
+		case !m.Leaving && now.Before(m.deadline.Add(lostTTL-tombstoneLifetime)):
+			lost = append(lost, a)
+		}
+	}
+	return live, lost
+}
+
 // RandomPeers returns up to n distinct live members of the own availability zone, without this daemon.
 func (g *Gossiper) RandomPeers(n int) []netip.AddrPort {
 	list := g.liveZonePeers()
--- a/services/gossiper/merge_test.go
+++ b/services/gossiper/merge_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,3 +45,43 @@
 		}
 	}
 }
+
+// TestZoneForwarders guards against a member that is left out although the fabric may send packets to it: one that leaves, is suspect, or was
+// declared dead without an announcement and may run out of reach.
+func TestZoneForwarders(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	address := func(i byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 7100) }
+	g := gossiper.New(gossiper.Config{Self: address(1), AvailabilityZone: "souillac", Incarnation: 1, Random: rand.New(rand.NewPCG(1, 1))})
+	update := func(m packer.Member) {
+		if m.AvailabilityZone == "" {
+			m.AvailabilityZone = "souillac"
+		}
+		g.Receive(now, packer.Datagram{
+			Kind: packer.KindAck, Sequence: 99, Sender: packer.Member{Address: address(9), AvailabilityZone: "mahebourg", Incarnation: 2}, Updates: []packer.Member{m},
+		})
+	}
+	check := func(want, wantLost []netip.AddrPort) {
+		t.Helper()
+		if live, lost := g.ZoneForwarders(now); !slices.Equal(live, want) || !slices.Equal(lost, wantLost) {
+			t.Errorf("forwarders %v, lost %v, want %v, %v", live, lost, want, wantLost)
+		}
+	}
+	check([]netip.AddrPort{address(1)}, nil)
+	update(packer.Member{Address: address(2), Incarnation: 5})
+	update(packer.Member{Address: address(3), Incarnation: 5, Leaving: true})
+	update(packer.Member{Address: address(4), Incarnation: 5, State: packer.StateSuspect})
+	update(packer.Member{Address: address(5), Incarnation: 5, AvailabilityZone: "mahebourg"})
+	check([]netip.AddrPort{address(1), address(2), address(3), address(4)}, nil)
+	update(packer.Member{Address: address(3), Incarnation: 5, Leaving: true, State: packer.StateDead})
+	check([]netip.AddrPort{address(1), address(2), address(4)}, nil)
+	update(packer.Member{Address: address(4), Incarnation: 5, State: packer.StateDead})
+	check([]netip.AddrPort{address(1), address(2)}, []netip.AddrPort{address(4)})
+	now = now.Add(59 * time.Second)
+	check([]netip.AddrPort{address(1), address(2)}, []netip.AddrPort{address(4)})
+	now = now.Add(time.Second)
+	check([]netip.AddrPort{address(1), address(2)}, nil)
+	update(packer.Member{Address: address(2), Incarnation: 5, State: packer.StateDead})
+	check([]netip.AddrPort{address(1)}, []netip.AddrPort{address(2)})
+	update(packer.Member{Address: address(2), Incarnation: 6})
+	check([]netip.AddrPort{address(1), address(2)}, nil)
+}
--- a/services/steerer/flows.go
+++ b/services/steerer/flows.go
@@ -26,8 +26,8 @@
 type flow struct {
 	server                 *backendServer
 	sequence               uint32    // of the newest packet with data, or of the opening packet
+	nextSequence           uint32    // that follows the newest packet from the caller
 	lastAck                uint32    // newest acknowledgement from the caller
-	firstAck               uint32    // first acknowledgement from the caller that this daemon has seen
 	firstSeen              time.Time // when this daemon saw the flow first
 	openingSentAt          time.Time // when the opening packet was forwarded, while its answer is awaited; zero otherwise
 	lastSentAt             time.Time // when the packet with the sequence above was last forwarded
@@ -49,9 +49,10 @@
 // trackFlow starts to track a flow from packet p on.
 func (s *Steerer) trackFlow(now time.Time, key flowKey, p *editor.Packet, target *backendServer) {
 	if len(s.flows) >= maxTrackedFlows {
+		s.sightings.lose(now)
 		return
 	}
-	f := &flow{server: target, sequence: p.SequenceNumber, firstSeen: now, lastSentAt: now, lastSeen: now, handshaking: p.Flags.SYN, openedHere: p.Flags.SYN}
+	f := &flow{server: target, sequence: p.SequenceNumber, nextSequence: p.SequenceNumber + uint32(p.DataLength), firstSeen: now, lastSentAt: now, lastSeen: now, handshaking: p.Flags.SYN, openedHere: p.Flags.SYN}
 	s.flows[key] = f
 	f.setCountedOpen(true)
 	if f.handshaking {
@@ -133,9 +134,10 @@
 	}
 }
 
-// forgetFlow stops tracking a flow.
+// forgetFlow stops tracking a flow. Its newest packet is remembered for the queries of other daemons.
 func (s *Steerer) forgetFlow(key flowKey) {
 	if f, ok := s.flows[key]; ok {
+		s.sightings.remember(key, f)
 		s.dropHeld(f)
 		f.stopAwaitingOpening()
 		f.setCountedOpen(false)
@@ -150,19 +152,21 @@
 	f, ok := s.flows[key]
 	if ok && f.server != target {
 		s.forgetFlow(key)
-		ok = false
+		f, ok = nil, false
 	}
+	s.recordTakeover(now, key, f, p)
 	if !ok {
 		s.trackFlow(now, key, p, target)
 		if f, ok = s.flows[key]; !ok {
 			return false, 0
 		}
-		f.firstAck, f.lastAck = p.AckNumber, p.AckNumber
+		f.lastAck = p.AckNumber
 		if p.DataLength > 0 {
 			f.awaitAnswer(now)
 		}
 	}
 	f.lastSeen = now
+	f.recordSequence(p)
 	s.observed = f
 	switch {
 	case p.Flags.RST:
@@ -188,9 +192,6 @@
 	}
 	switch {
 	case f.handshaking, int32(p.AckNumber-f.lastAck) > 0:
-		if f.handshaking {
-			f.firstAck = p.AckNumber
-		}
 		f.lastAck = p.AckNumber
 		f.server.handleAnswer(now, f, f.handshaking || p.DataLength == 0 || now.Sub(f.lastSentAt) < contradictionWindow)
 		s.evidenceChanged = s.evidenceChanged || f.server.contradicted
@@ -223,6 +224,13 @@
 	return completed, retransmissions
 }
 
+// recordSequence records up to which sequence number this daemon has seen the caller's packets.
+func (f *flow) recordSequence(p *editor.Packet) {
+	if next := p.SequenceNumber + uint32(p.DataLength); f.handshaking || int32(next-f.nextSequence) > 0 {
+		f.nextSequence = next
+	}
+}
+
 // requestAcknowledged reports whether the backend server has certainly acknowledged the newest request: the caller would have
 // retransmitted it by now otherwise. A request that was lost on a link or in a daemon is no evidence against the backend server.
 func (f *flow) requestAcknowledged(now time.Time) bool {
@@ -236,9 +244,10 @@
 	Age    time.Duration // since this daemon first saw the flow
 }
 
-// TakeLostFlows returns the open flows of backend servers that have been removed or have fallen silent, and stops tracking them.
-// Flows that another daemon may carry are left to that one. The caller of this method resets them without waiting for a packet: a caller that is reset before its next request sends it on
-// a new flow. That matters most for requests that are not idempotent, which can't be retried once they are sent.
+// TakeLostFlows returns open flows of backend servers that have been removed or have fallen silent, and stops tracking them. The caller of
+// this method resets them without waiting for a packet: a caller that is reset before its next request sends it on a new flow. That matters
+// most for requests that are not idempotent, which can't be retried once they are sent. Flows that another daemon has seen since are left to
+// that one, so they are returned only after the others have answered; see TakeQueries.
 func (s *Steerer) TakeLostFlows(now time.Time) []LostFlow {
 	lost := map[*backendServer]bool{}
 	for _, b := range s.servers {
@@ -251,21 +260,8 @@
 			lost[b] = true
 		}
 	}
-	if len(lost) == 0 {
-		return nil
-	}
-	var list []LostFlow
-	for key, f := range s.flows {
-		if !lost[f.server] {
-			continue
-		}
-		if !f.finSeen && !f.handshaking && s.knowsAcknowledgement(now, f) {
-			list = append(list, LostFlow{
-				Packet: editor.Packet{Source: key.caller, Destination: key.destination, AckNumber: f.lastAck}, Server: f.server.ID,
-				Age: now.Sub(f.firstSeen),
-			})
-		}
-		s.forgetFlow(key)
+	if len(lost) > 0 {
+		s.startInquiry(now, lost)
 	}
-	return list
+	return s.takeConfirmed(now)
 }
--- a/services/steerer/random_test.go
+++ b/services/steerer/random_test.go
@@ -237,6 +237,15 @@
 // tick does the periodic work of a daemon.
 func (m *machine) tick() {
 	m.TakeFindings(m.now)
+	self, other := netip.MustParseAddrPort("10.9.0.2:1"), netip.MustParseAddrPort("10.9.0.2:2")
+	m.SetForwarders(self, []netip.AddrPort{self, other}, nil)
+	for _, q := range m.TakeQueries(m.now) {
+		reply := m.AnswerQuery(m.now, &q.Query)
+		if m.random.IntN(2) == 0 {
+			clear(reply.Sightings)
+		}
+		m.AddReply(m.now, q.To, &reply)
+	}
 	for _, lost := range m.TakeLostFlows(m.now) {
 		if !lost.Packet.Source.Addr().Is4() {
 			panic("a lost flow without an address")
--- a/services/steerer/view.go
+++ b/services/steerer/view.go
@@ -68,6 +68,9 @@
 // SetConfiguration puts a version of the configuration in force. Versions must be passed in ascending order.
 func (s *Steerer) SetConfiguration(now time.Time, c *directory.Configuration) {
 	previousRoutes := s.routes
+	if !s.configured {
+		s.sightings.since = now
+	}
 	s.configured = true
 	s.idleTimeout = defaultIdleTimeout
 	if c.IdleTimeout > 0 {
@@ -167,7 +170,7 @@
 	}
 	for key, f := range s.flows {
 		if f.server == b {
-			delete(s.flows, key)
+			s.forgetFlow(key)
 		}
 	}
 }
@@ -225,11 +228,12 @@
 	for key, f := range s.flows {
 		switch idle := now.Sub(f.lastSeen); {
 		case idle > s.idleTimeout:
-			s.forgetFlow(key)
+			s.forgetFlow(key) // the sweep of the sightings drops what forgetFlow remembers
 		case idle > idleAfter:
 			f.setCountedOpen(false)
 		}
 	}
+	s.sightings.sweep(now, s.idleTimeout)
 	if !s.restoredAt.IsZero() && now.Sub(s.restoredAt) >= restoreGrace {
 		s.restoredAt = time.Time{}
 		s.applyBackendList(now)
--- a/tests/replay/exchange.go
+++ b/tests/replay/exchange.go
@@ -121,6 +121,7 @@
 // exchange sends findings and resets the flows of lost backend servers.
 func (d *faultDaemon) exchange() {
 	findings := d.TakeFindings(d.m.now)
+	d.SetForwarders(d.address, d.m.addresses(), nil)
 	lost := d.TakeLostFlows(d.m.now)
 	for i := range lost {
 		for _, f := range d.m.flows {
@@ -129,6 +130,20 @@
 			}
 		}
 	}
+	if hold, ok := d.TakeTakeover(d.m.now); ok {
+		for _, o := range d.m.daemons {
+			if o != d {
+				d.send(o, func() { o.AddTakeover(d.m.now, d.address, hold) })
+			}
+		}
+	}
+	for _, q := range d.TakeQueries(d.m.now) {
+		to := d.m.daemonAt(q.To)
+		d.send(to, func() {
+			reply := to.AnswerQuery(d.m.now, &q.Query)
+			to.send(d, func() { d.wake(d.AddReply(d.m.now, to.address, &reply)) })
+		})
+	}
 	for _, f := range findings {
 		f.Origin = d.address
 		if !d.m.faultCase.probes {
