--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -327,6 +327,7 @@
 	digest   []estimator.Record
 	delays   []steerer.AdmissionReport
 	queries  []inquirer.Message
+	wakeAt   time.Time     // when more queries are due; zero if none will be
 	takeover time.Duration // for which an announcement of takeovers is to hold; 0 if there is none
 }
 
@@ -375,6 +376,9 @@
 	if len(d.queries) > 0 && t.sendQueries != nil {
 		t.sendQueries(d.queries)
 	}
+	if !d.wakeAt.IsZero() {
+		time.AfterFunc(time.Until(d.wakeAt), t.wakeTicks)
+	}
 	if d.takeover > 0 && t.announceTakeover != nil {
 		t.announceTakeover(d.takeover)
 	}
@@ -398,6 +402,7 @@
 	}
 	d := due{findings: t.c.Steerer.TakeFindings(now), resets: t.c.Steerer.TakeLostFlows(now), digest: t.c.Steerer.TakeDigest(now), delays: t.c.Steerer.TakeAdmissionReports(now)}
 	d.queries = t.c.Steerer.TakeQueries(now)
+	d.wakeAt, _ = t.c.Steerer.NextQueryAt()
 	d.takeover, _ = t.c.Steerer.TakeTakeover(now)
 	t.c.Recorder.LogFindings(recorder.FoundBySelf, d.findings)
 	for i := range d.resets {
--- a/services/inquirer/inquirer.go
+++ b/services/inquirer/inquirer.go
@@ -27,8 +27,8 @@
 	// lifetime is how long the daemons have time to answer. Within it an answer holds: flows of a backend server that sends nothing do not
 	// advance.
 	lifetime = 300 * time.Millisecond
-	// resendInterval is the time after which the daemons that have not answered are asked again.
-	resendInterval = 100 * time.Millisecond
+	// resendInterval is the time after which the daemons that have not answered are asked again. It doubles each time.
+	resendInterval = 10 * time.Millisecond
 	// MaxFlows is the number of flows of a query, which then fits into a datagram.
 	MaxFlows = 24
 	// maxInquiries bounds the inquiries under way.
@@ -96,7 +96,8 @@
 	activity   Activity // of all daemons that have answered, and of this one
 	disputed   bool     // a daemon knows other daemons of the zone
 	startedAt  time.Time
-	sentAt     time.Time
+	nextAt     time.Time     // when the missing daemons are asked next
+	interval   time.Duration // from then to the time after
 }
 
 // Inquirer asks about the flows that one daemon wants to reset.
@@ -177,7 +178,7 @@
 			continue
 		}
 		q.lastID++
-		i := &inquiry{query: Query{ID: q.lastID}, candidates: slices.Clone(part), missing: slices.Clone(q.members), activity: own, startedAt: now}
+		i := &inquiry{query: Query{ID: q.lastID}, candidates: slices.Clone(part), missing: slices.Clone(q.members), activity: own, startedAt: now, nextAt: now, interval: resendInterval}
 		for _, c := range part {
 			i.query.Flows = append(i.query.Flows, c.Flow)
 		}
@@ -238,10 +239,10 @@
 	}
 	var list []Message
 	for _, i := range q.inquiries {
-		if !i.sentAt.IsZero() && now.Sub(i.sentAt) < resendInterval {
+		if now.Before(i.nextAt) {
 			continue
 		}
-		i.sentAt = now
+		i.nextAt, i.interval = now.Add(i.interval), 2*i.interval
 		for _, m := range i.missing {
 			list = append(list, Message{To: m, Query: i.query})
 		}
@@ -249,6 +250,20 @@
 	return list
 }
 
+// NextAt returns when TakeQueries should be called next, false if no inquiry is under way.
+func (q *Inquirer) NextAt() (at time.Time, ok bool) {
+	for _, i := range q.inquiries {
+		next := i.startedAt.Add(lifetime)
+		if i.nextAt.Before(next) {
+			next = i.nextAt
+		}
+		if !ok || next.Before(at) {
+			at, ok = next, true
+		}
+	}
+	return at, ok
+}
+
 // AddReply adds the answer of a daemon, and reports whether it is the last one of an inquiry.
 func (q *Inquirer) AddReply(now time.Time, from netip.AddrPort, r *Reply) bool {
 	at := slices.IndexFunc(q.inquiries, func(i *inquiry) bool { return i.query.ID == r.ID })
--- a/services/steerer/sightings.go
+++ b/services/steerer/sightings.go
@@ -68,6 +68,9 @@
 // TakeQueries returns the queries about idle flows that are to be sent to other daemons now.
 func (s *Steerer) TakeQueries(now time.Time) []inquirer.Message { return s.inquirer.TakeQueries(now) }
 
+// NextQueryAt returns when TakeQueries should be called next, false if this daemon asks about no flow.
+func (s *Steerer) NextQueryAt() (time.Time, bool) { return s.inquirer.NextAt() }
+
 // AddReply adds the answer of another daemon. It reports whether TakeLostFlows should be called soon.
 func (s *Steerer) AddReply(now time.Time, from netip.AddrPort, r *inquirer.Reply) bool {
 	return s.inquirer.AddReply(now, from, r)
