--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -38,12 +38,14 @@
 	// observations are what a run with a share of a core has seen beyond the time bounds, which are not checked then.
 	observations []string
 	liveResets   int // resets by daemons of flows at live backend servers, with and without a disturbance
+	// judgedShare is the share of the run in which nothing excuses a reset by at least one daemon.
+	judgedShare float64
 }
 
 // summary returns the line that is printed for a run.
 func (r *runResult) summary() string {
-	return fmt.Sprintf("seed %d: %d faults, answered %d, late %d, failed %d, unopened %d, resets %d (%d at live backend servers), %d ends, start-ups %s, broken guarantees %d", r.seed, len(r.faults),
-		r.callerCounts.Answered, r.callerCounts.Late, r.callerCounts.Failed, r.callerCounts.Unopened, r.callerCounts.Resets, r.liveResets, r.ends, formatStartUps(r.startUps), len(r.violations))
+	return fmt.Sprintf("seed %d: %d faults, answered %d, late %d, failed %d, unopened %d, resets %d (%d at live backend servers, judged for %.0f%% of the run), %d ends, start-ups %s, broken guarantees %d", r.seed, len(r.faults),
+		r.callerCounts.Answered, r.callerCounts.Late, r.callerCounts.Failed, r.callerCounts.Unopened, r.callerCounts.Resets, r.liveResets, 100*r.judgedShare, r.ends, formatStartUps(r.startUps), len(r.violations))
 }
 
 // formatStartUps returns the number, the median and the longest of the start-ups.
@@ -71,6 +73,7 @@
 	signalsAfterOutput   bool              // signals early in a process wait for its first output
 	routes               []directory.Route // of the newest configuration with random routes
 	lastExtraRoute       int
+	restoringRoutes      bool // routes of callers that were left out return soon
 	evacuating           bool // a zone is evacuated
 	checksTimes          bool // bounds of times are checked
 	movesEnabled         bool // moves flows before backend servers crash
@@ -111,7 +114,7 @@
 	in.movesEnabled, in.zones, in.backends = o.moves, size.zones, size.zones*size.backendsPerZone
 	in.injectFaults(o.runDuration)
 	in.checkRecovery()
-	in.result.liveResets = in.disturbances.judged
+	in.result.liveResets, in.result.judgedShare = in.disturbances.judged, in.disturbances.judgedShare()
 	in.result.startUps = d.StartUps()
 	d.Stop()
 	in.result.callerCounts = d.Outcomes()
--- a/tests/soak/resets.go
+++ b/tests/soak/resets.go
@@ -48,8 +48,13 @@
 	all        time.Time
 	daemons    map[*deployment.Daemon]time.Time
 	judged     int // resets of flows at live backend servers
+	samples    int
+	stable     int // samples in which a reset by some daemon would be a violation
 }
 
+// judgedShare returns the share of the samples in which a reset by some daemon would be a violation.
+func (s *disturbances) judgedShare() float64 { return float64(s.stable) / float64(max(s.samples, 1)) }
+
 // recordFault records the disturbance by a fault that samples don't show. Inputs may drop the route of a flow.
 func (s *disturbances) recordFault(now time.Time, name string, inputs []fault) {
 	if slices.Contains(storeFaults, name) || slices.ContainsFunc(inputs, func(f fault) bool { return f.name == name }) {
@@ -126,6 +131,10 @@
 			s.daemons[daemon] = now
 		}
 	}
+	s.samples++
+	if slices.ContainsFunc(in.Daemons, func(d *deployment.Daemon) bool { return s.isStable(now, d) }) {
+		s.stable++
+	}
 	for _, r := range in.TakeLiveResets() {
 		s.judged++
 		if s.isStable(now, r.Daemon) {
--- a/tests/soak/routes.go
+++ b/tests/soak/routes.go
@@ -17,6 +17,9 @@
 	// Changes of a storm, and the time between two.
 	stormChanges  = 12
 	stormInterval = 330 * time.Millisecond
+	// minRouteAbsence and maxRouteAbsence bound the time for which a route of callers is left out.
+	minRouteAbsence = time.Second
+	maxRouteAbsence = 3 * time.Second
 )
 
 // randomRoutes returns the routes of the callers with other priorities, timeouts, targets and weights, some of them left out, and extra routes without
@@ -83,9 +86,27 @@
 	in.publishRoutes(routes)
 }
 
+// publishRoutes publishes routes. Those of callers that are left out return some seconds later: without them a run checks little.
 func (in *injector) publishRoutes(routes []directory.Route) {
 	in.routes = routes
 	in.PublishConfiguration(routes)
+	if in.restoringRoutes || len(missingRoutes(routes)) == 0 {
+		return
+	}
+	in.restoringRoutes = true
+	in.schedule(minRouteAbsence, maxRouteAbsence, func() {
+		in.restoringRoutes = false
+		if missing := missingRoutes(in.routes); len(missing) > 0 {
+			in.publishRoutes(append(slices.Clone(in.routes), missing...))
+		}
+	})
+}
+
+// missingRoutes returns the routes of callers that are not among the routes.
+func missingRoutes(routes []directory.Route) []directory.Route {
+	return slices.DeleteFunc(deployment.PriorityRoutes(), func(r directory.Route) bool {
+		return slices.ContainsFunc(routes, func(o directory.Route) bool { return o.Address == r.Address })
+	})
 }
 
 func (in *injector) growRoutes() { in.publishRoutes(in.randomRoutes(bigRouteCount)) }
