follower: the backend list is followed while the configuration is rejected

What callers see: new flows at backend servers that have left, once the operator's newest configuration cannot be decoded by this version. Cause: a read of the store brings the list and the configuration, and failed as a whole. The configuration in force stays and grows old: neither the read nor a watch from after the rejected one confirms it.

--- a/internal/direct/follower/backend_list.go
+++ b/internal/direct/follower/backend_list.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebelldyke/bluebelldyke/internal/direct/encoder"
+	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/modules/fetcher"
 	"github.com/bluebelldyke/bluebelldyke/services/lister"
 )
@@ -89,9 +90,15 @@
 		f.recordOutdated(s.BackendList.Position, f.backendList.Position())
 		return nil, outcome
 	}
-	f.advanceCursor(s.BackendList.Position)
+	if s.ConfigurationError == nil { // a watch from after a rejected configuration would confirm the one in force
+		f.advanceCursor(s.BackendList.Position)
+	}
 	f.configAbsent = s.ConfigurationPosition.IsZero()
-	if !f.configAbsent {
+	switch {
+	case f.configAbsent:
+	case s.ConfigurationError != nil:
+		f.recordRejected(s.ConfigurationPosition, s.ConfigurationError)
+	default:
 		// A snapshot without a configuration confirms the one in force, because its position has not changed.
 		f.configDocumentPosition = s.ConfigurationPosition
 		f.adoptConfiguration(s.Configuration, asOf)
@@ -99,6 +106,14 @@
 	return deltas, outcome
 }
 
+// recordRejected logs a configuration that cannot be used, once for each position. The one in force stays, and grows old. The caller holds mu.
+func (f *Follower) recordRejected(at directory.Position, err error) {
+	if at != f.rejectedPosition {
+		f.rejectedPosition = at
+		f.c.Logger.Warn("configuration rejected: the one in force stays, the backend list is followed", zap.Error(err))
+	}
+}
+
 // waitRetryBackendList waits after a failed read of the backend list. The first daemons in the order of reading back off as after any
 // failed call; the pacer decides how soon the others retry.
 func (f *Follower) waitRetryBackendList(ctx context.Context, b *fetcher.Backoff, failures int) {
--- a/internal/direct/follower/fleet_test.go
+++ b/internal/direct/follower/fleet_test.go
@@ -45,6 +45,7 @@
 	zoneChanges    []directory.EvacuationChange // of the present era
 	changed        chan struct{}
 	watchesSilent  bool          // watches do not report changes
+	rejected       bool          // the configuration cannot be decoded
 	historyLost    bool          // the changes since earlier revisions are no longer known
 	reads          int           // of the backend list
 	checks         int           // reads of the configuration alone
@@ -169,6 +170,9 @@
 	s.fakePlatform.mu.Lock()
 	defer s.fakePlatform.mu.Unlock()
 	s.checks++
+	if s.rejected {
+		return nil, s.position(), fetcher.ErrMalformed
+	}
 	return s.configuration(), s.position(), nil
 }
 
@@ -177,7 +181,7 @@
 		return Changes{}, errRefused
 	}
 	s.fakePlatform.mu.Lock()
-	lost, now, changed, changes := s.historyLost, s.position(), s.changed, s.changesAfter(after.Revision)
+	rejected, lost, now, changed, changes := s.rejected, s.historyLost, s.position(), s.changed, s.changesAfter(after.Revision)
 	hasChanges := changes.Configuration != nil || len(changes.Evacuations) > 0
 	if wait == 0 {
 		s.checks++
@@ -190,6 +194,8 @@
 		return Changes{}, ErrHistoryLost
 	case (hasChanges || wait == 0) && after.Era != now.Era:
 		return Changes{}, ErrHistoryLost
+	case hasChanges && rejected:
+		return Changes{}, fetcher.ErrMalformed
 	case hasChanges || wait == 0:
 		return changes, nil
 	}
@@ -199,8 +205,11 @@
 	case <-changed:
 		s.fakePlatform.mu.Lock()
 		defer s.fakePlatform.mu.Unlock()
-		if after.Era != s.era {
+		switch {
+		case after.Era != s.era:
 			return Changes{}, ErrHistoryLost
+		case s.rejected:
+			return Changes{}, fetcher.ErrMalformed
 		}
 		return s.changesAfter(after.Revision), nil
 	case <-ctx.Done():
@@ -224,7 +233,11 @@
 	if s.readsEvacuations {
 		snapshot.Evacuations = &directory.Evacuations{Position: s.position(), Zones: slices.Clone(s.evacuated)}
 	}
-	if known != snapshot.ConfigurationPosition {
+	switch {
+	case known == snapshot.ConfigurationPosition:
+	case s.rejected:
+		snapshot.ConfigurationError = fetcher.ErrMalformed
+	default:
 		snapshot.Configuration = s.configuration()
 	}
 	return snapshot, nil
--- a/internal/direct/follower/follower.go
+++ b/internal/direct/follower/follower.go
@@ -76,6 +76,8 @@
 	BackendList *directory.BackendList
 	// Configuration is nil if its position is the one given to Read or if the platform has none.
 	Configuration *directory.Configuration
+	// ConfigurationError states why the configuration at its position cannot be used, nil if it can. The backend list is usable all the same.
+	ConfigurationError error
 	// ConfigurationPosition is the position at which the platform stored the configuration, the zero position if it has none.
 	ConfigurationPosition directory.Position
 	// Evacuations are the evacuated availability zones, nil if the Source does not read them.
@@ -160,6 +162,7 @@
 	configAsOf             time.Time          // latest time at which the configuration was known to be the newest
 	configCursor           directory.Position // up to which changes of the configuration are known; zero after a loss of the history
 	configAbsent           bool               // the platform answered that it has no configuration
+	rejectedPosition       directory.Position // of the configuration that was rejected last
 	configDocumentPosition directory.Position // at which the platform stored the configuration that was read last
 	cancelWatch            context.CancelFunc // ends the watch of the configuration that is waiting
 	wanted                 wantedConfiguration
--- a/internal/direct/follower/follower_test.go
+++ b/internal/direct/follower/follower_test.go
@@ -24,6 +24,30 @@
 	})
 }
 
+// TestRejectedConfiguration guards against daemons that no longer follow the backend list, or that take their configuration for current, while
+// the newest one cannot be decoded.
+func TestRejectedConfiguration(t *testing.T) {
+	runFleet(t, 3, threeZones, func(f *fleet) {
+		f.change(func() { f.version, f.rejected = 5, true })
+		f.change(func() { f.servers = f.servers[:1] })
+		time.Sleep(stalenessBound)
+		f.expectInForce(t, 1, 1)
+		rejected := 0
+		for _, d := range f.daemons {
+			rejected += d.logs.FilterMessageSnippet("configuration rejected").Len()
+			if configuration, _ := d.Ages(); configuration < stalenessBound/2 {
+				t.Errorf("%s: age %s of the configuration", d.address, configuration)
+			}
+		}
+		if rejected == 0 || rejected > len(f.daemons) {
+			t.Errorf("%d lines about the rejected configuration of %d daemons", rejected, len(f.daemons))
+		}
+		f.change(func() { f.version, f.rejected = 6, false })
+		time.Sleep(stalenessBound)
+		f.expectInForce(t, 6, 1)
+	})
+}
+
 // TestPartitionedDaemons guards against daemons that rely on peers that they cannot reach.
 func TestPartitionedDaemons(t *testing.T) {
 	runFleet(t, 3, threeZones, func(f *fleet) {
