loader: settings that are cut off are not taken, and odd names and seeds do not end a start

What operators saw: a daemon without admission control, probes or log budget until its next restart, if it read its settings while they were written; a daemon that ends at each start with status 2 because a zone has a quote or a character above U+FFFF in its name, or one of the seeds is no IPv4 address. Cause: a file that ends between two tables is valid, and a template can insert values of the platform only as they are or as JSON. Zones and seeds are inserted as JSON in a literal string and read as JSON; seeds that are no addresses are ignored with a warning; pairs of surrogates are joined before TOML is read. Hand-written keys are unchanged, and as strict as before. Open: a name with three apostrophes in a row.

--- a/internal/direct/loader/loader.go
+++ b/internal/direct/loader/loader.go
@@ -135,12 +135,16 @@
 // Parse reads the TOML content of the named file. The error is an inspector.ErrInvalid that lists all problems found.
 func Parse(file string, content []byte) (Settings, error) {
 	report := inspector.NewReport(file)
-	root := inspector.Parse(report, content)
+	root := inspector.Parse(report, joinSurrogates(content))
 	var s Settings
+	readEnd(root)
 	root.Require("add the key; deploy/direct.toml.template shows it", "name", "availability-zone", "entry", "readiness", "peer", "platform", "stop", "bounds")
 	s.VMName, _ = root.Text("name")
 	s.AvailabilityZone, _ = root.Text("availability-zone")
 	s.AvailabilityZones, _ = root.Texts("availability-zones")
+	if root.Has("availability-zone-table") {
+		s.AvailabilityZones = readZoneTable(root)
+	}
 	s.EntryBind = readBind(root.Table("entry"))
 	s.ReadinessBind = readBind(root.Table("readiness"))
 	if root.Has("metrics") {
@@ -149,7 +153,7 @@
 	if root.Has("operator") {
 		s.OperatorBind = readOperator(root.Table("operator"))
 	}
-	s.Peer = readPeer(root.Table("peer"))
+	s.Peer = readPeer(root.Table("peer"), &s)
 	s.PlatformURL = configurer.ReadPlatform(root.Table("platform")).URL
 	s.GracePeriod = readGracePeriod(root.Table("stop"), &s)
 	readBounds(root.Table("bounds"), &s)
@@ -180,7 +184,7 @@
 	return bind
 }
 
-func readPeer(t *inspector.Table) Peer {
+func readPeer(t *inspector.Table, s *Settings) Peer {
 	t.Require("write the IP address and port of the peer socket", "bind")
 	t.Require("write the fleet key, the same 64 hexadecimal digits on every daemon", "key")
 	var p Peer
@@ -199,6 +203,9 @@
 		}
 		p.Seeds = append(p.Seeds, seed)
 	}
+	if t.Has("seed-list") {
+		p.Seeds = append(p.Seeds, s.readSeedList(t)...)
+	}
 	if t.Has("link-rate") {
 		p.LinkRate, _ = t.Number("link-rate", minLinkRate, maxLinkRate)
 	}
--- a/internal/direct/loader/loader_test.go
+++ b/internal/direct/loader/loader_test.go
@@ -159,3 +159,34 @@
 	_, err = loader.Parse("direct.toml", []byte(strings.Replace(text, "limit = true", "limits = true", 1)))
 	g.Expect(inspector.IsErrInvalid(err)).To(BeTrue())
 }
+
+// TestRenderedValues guards against a daemon that does not start because the platform states an odd name or seed, which a template cannot escape.
+func TestRenderedValues(t *testing.T) {
+	g := NewWithT(t)
+	text := readExample(t)
+	edit := func(from, to string) {
+		t.Helper()
+		changed := strings.Replace(text, from, to, 1)
+		g.Expect(changed).NotTo(Equal(text), from)
+		text = changed
+	}
+	edit(`name = "`, `name = "\\ud83d \ud83d\ude00 \uD800 \u00e9 `)
+	edit(`availability-zones = `, "availability-zone-table = '''{\"sou\\\"illac \\ud83d\\ude00\": null, \"b\": \"r\"}'''\n# ")
+	edit(`seeds = `, "seed-list = ''' [\"10.2.0.40:8166\", 7, \"seed\", \"[::1]:8166\", \"10.3.0.7:0\", null, \"10.3.0.7:8166\"]'''\n# ")
+	s, err := loader.Parse("direct.toml", []byte(text))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.VMName).To(HavePrefix("\\ud83d 😀 \uFFFD é "))
+	g.Expect(s.AvailabilityZones).To(Equal([]string{"b", "sou\"illac 😀"}))
+	g.Expect(s.Peer.Seeds).To(Equal([]netip.AddrPort{netip.MustParseAddrPort("10.2.0.40:8166"), netip.MustParseAddrPort("10.3.0.7:8166")}))
+	g.Expect(s.Adjustments).To(HaveLen(5))
+	for list, adjusted := range map[string]int{"": 0, "[]": 0, "7": 1, "{": 1} {
+		edit("seed-list = ", "seed-list = ''' "+list+"'''\n# ")
+		s, err = loader.Parse("direct.toml", []byte(text))
+		g.Expect(err).NotTo(HaveOccurred(), list)
+		g.Expect(s.Peer.Seeds).To(BeEmpty())
+		g.Expect(s.Adjustments).To(HaveLen(adjusted), list)
+	}
+	edit("availability-zone-table = ", "availability-zone-table = \"[]\" # ")
+	_, err = loader.Parse("direct.toml", []byte(text))
+	g.Expect(inspector.IsErrInvalid(err)).To(BeTrue())
+}
