tests/soak: -bursts lets many callers come at loaded backend servers with a queue

With -bursts each of three zones has one of 2 slots and a queue of 8 that is busy for 0.85 of the time, and 1.7 times the callers come for 3 s again and again. Nothing disturbs the backend servers, so that each reset of an open flow by a daemon is a violation. Both ways of acknowledging are drawn by the seed.

--- a/tests/harness/deployment/backends.go
+++ b/tests/harness/deployment/backends.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync/atomic"
@@ -44,8 +45,8 @@
 	change(&b.server)
 	var err error
 	b.Backend, err = direct.NewBackend(direct.BackendConfig{
-		Server: b.server, Layout: platform.PacketLayout(), CallerPort: uint16(d.base + portEntry), ServiceTime: serviceTime, Violations: d.Violations,
-		ServiceAddresses: allowed, AcknowledgeAtOnce: d.config.AcknowledgeAtOnce, AnswerPadding: d.answerPadding(),
+		Server: b.server, Layout: platform.PacketLayout(), CallerPort: uint16(d.base + portEntry), ServiceTime: cmp.Or(d.config.ServiceTime, serviceTime), Violations: d.Violations,
+		ServiceAddresses: allowed, AcknowledgeAtOnce: d.config.AcknowledgeAtOnce, AnswerPadding: d.answerPadding(), QueueLength: d.config.QueueLength,
 	})
 	if err != nil {
 		return nil, err
--- a/tests/harness/deployment/deployment.go
+++ b/tests/harness/deployment/deployment.go
@@ -90,6 +90,12 @@
 	LowPriorityRoutes bool
 	// AcknowledgeAtOnce makes backend servers acknowledge requests when they arrive instead of with the answers.
 	AcknowledgeAtOnce bool
+	// QueueLength and ServiceTime describe the backend servers if QueueLength is not 0: their slots are busy for about ServiceTime with a request,
+	// and QueueLength further ones wait.
+	QueueLength int
+	ServiceTime time.Duration
+	// RequestPause replaces the pause of callers between two requests if it is not 0.
+	RequestPause time.Duration
 	// LongFlows makes callers keep their flows open and read many bytes on them, so that an old acknowledgement is soon outside of their window.
 	LongFlows bool
 }
@@ -209,20 +215,28 @@
 		services = append(services, OvenwatchLow, RecipecardLow)
 	}
 	for i, service := range services {
-		callers, err := direct.NewCallers(direct.CallersConfig{
-			Address: d.address(kindCaller, 0, i, 0).Addr(), Port: uint16(d.base + portEntry), Layout: platform.PacketLayout(), Fabric: d.Fabric,
-			Service: service, Flows: d.config.FlowsPerService, RequestsPerFlow: d.requestsPerFlow(), RequestPause: d.requestPause(), Deadline: requestDeadline,
-			AnswerPadding: d.answerPadding(), Violations: d.Violations, ForbidResets: &d.ForbidResets, FirstRequestID: uint64(i/2) * requestIDBlock, OnReset: d.judgeReset,
-		})
-		if err != nil {
+		if _, err := d.AddCallers(service, d.config.FlowsPerService, uint64(i/2)); err != nil {
 			return err
 		}
-		d.Callers = append(d.Callers, callers)
-		d.group.Go(func() error { return callers.Run(d.ctx) })
 	}
 	return nil
 }
 
+// AddCallers starts callers of a route. Those of routes of one service need request ids of different blocks.
+func (d *Deployment) AddCallers(service netip.AddrPort, flows int, idBlock uint64) (*direct.Callers, error) {
+	callers, err := direct.NewCallers(direct.CallersConfig{
+		Address: d.address(kindCaller, 0, len(d.Callers), 0).Addr(), Port: uint16(d.base + portEntry), Layout: platform.PacketLayout(), Fabric: d.Fabric,
+		Service: service, Flows: flows, RequestsPerFlow: d.requestsPerFlow(), RequestPause: d.requestPause(), Deadline: requestDeadline,
+		AnswerPadding: d.answerPadding(), Violations: d.Violations, ForbidResets: &d.ForbidResets, FirstRequestID: idBlock * requestIDBlock, OnReset: d.judgeReset,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.Callers = append(d.Callers, callers)
+	d.group.Go(func() error { return callers.Run(d.ctx) })
+	return callers, nil
+}
+
 // Routes returns the routes of both services.
 func Routes() []directory.Route {
 	return []directory.Route{
--- a/tests/harness/deployment/flows.go
+++ b/tests/harness/deployment/flows.go
@@ -19,6 +19,9 @@
 }
 
 func (d *Deployment) requestPause() time.Duration {
+	if d.config.RequestPause > 0 {
+		return d.config.RequestPause
+	}
 	if d.config.LongFlows {
 		return longRequestPause
 	}
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -77,6 +77,8 @@
 	evacuating           bool // a zone is evacuated
 	checksTimes          bool // bounds of times are checked
 	movesEnabled         bool // moves flows before backend servers crash
+	burstsEnabled        bool // injects bursts of callers only
+	burstCount           uint64
 	moving               bool // such a fault is active
 	zones, backends      int  // backends is the number of backend servers of ovenwatch at the start
 	err                  error
@@ -98,12 +100,16 @@
 // runSeed starts a deployment, injects the faults that a seed draws, and checks the recovery.
 func runSeed(o options, seed uint64, linkFaults bool) (*runResult, error) {
 	size := o.size()
-	d, err := deployment.Start(deployment.Config{
+	config := deployment.Config{
 		Binaries: o.binaryDir, Zones: size.zones, Daemons: size.daemons, BackendsPerZone: size.backendsPerZone, FlowsPerService: size.flows, Evacuations: true,
 		Supervised: true, Share: o.share, AsDeployed: o.processFaults || o.moves, LowPriorityRoutes: o.processFaults,
 		LongFlows:         o.moves,
 		AcknowledgeAtOnce: rand.New(rand.NewPCG(seed, 12)).IntN(2) == 0, // from a source of its own, so that the faults of a seed stay
-	})
+	}
+	if o.bursts {
+		applyBursts(&config)
+	}
+	d, err := deployment.Start(config)
 	if err != nil {
 		return nil, err
 	}
@@ -111,6 +117,7 @@
 		Deployment: d, random: rand.New(rand.NewPCG(seed, 11)), result: &runResult{seed: seed}, unavailable: map[*deployment.Daemon]bool{},
 		faultyLinks: map[*deployment.Daemon]bool{}, linkFaultsEnabled: linkFaults, processFaultsEnabled: o.processFaults, signalsAfterOutput: o.signalsAfterOutput, checksTimes: o.share == 0,
 	}
+	in.burstsEnabled = o.bursts
 	in.movesEnabled, in.zones, in.backends = o.moves, size.zones, size.zones*size.backendsPerZone
 	in.injectFaults(o.runDuration)
 	in.checkRecovery()
@@ -174,6 +181,13 @@
 }
 
 func (in *injector) injectRandomFault() {
+	if in.burstsEnabled {
+		if len(in.pendingEnds) == 0 && in.random.IntN(3) == 0 {
+			in.result.faults = append(in.result.faults, "burst")
+			in.burst()
+		}
+		return
+	}
 	faults := []fault{
 		{"stop", in.stopDaemon}, {"kill", in.killDaemon}, {"kill-all", in.killAllDaemons}, {"pause", in.pauseDaemon},
 		{"drain", in.drainBackend}, {"crash", in.crashBackend}, {"store", in.failStore}, {"compact", in.compactStore},
--- a/tests/soak/main.go
+++ b/tests/soak/main.go
@@ -3,7 +3,7 @@
 // store fails in each way, compacts its history, stops responding and is restored from an older copy, and the configuration changes. The links to daemons and to
 // the store lose, duplicate, delay and block packets or reset connections, some in one direction only. With -ends, daemons also get signals in
 // their first milliseconds and while they drain, start beside their predecessor, and read incomplete settings and odd inputs. No process
-// may end but by a signal of the soak. With -moves, long flows move between daemons before backend servers crash. Meanwhile callers and
+// may end but by a signal of the soak. With -moves, long flows move between daemons before backend servers crash. With -bursts, many callers come at a few backend servers. Meanwhile callers and
 // backend servers check the guarantees, such as that no request runs twice. The report is a Markdown page with a plot.
 package main
 
@@ -30,6 +30,7 @@
 	flag.DurationVar(&o.runDuration, "length", 20*time.Second, "length of a run")
 	flag.BoolVar(&o.processFaults, "ends", false, "also draw faults of starts, stops, settings and inputs, with the settings of the deploy template")
 	flag.BoolVar(&o.moves, "moves", false, "keep flows open for long, and move flows to other daemons of the only zone and back before backend servers crash; ignores -daemons")
+	flag.BoolVar(&o.bursts, "bursts", false, "let many callers come again and again at one loaded backend server a zone, without other faults; ignores -daemons")
 	flag.BoolVar(&o.signalsAfterOutput, "signals-after-output", false, "with -ends, send early signals only once a process has written a line; before, SIGHUP ends any program")
 	flag.IntVar(&o.daemons, "daemons", 6, "number of daemons in the 3 availability zones")
 	flag.Float64Var(&o.share, "share", 0, "share of a core that each daemon gets, such as 0.088; 0 means no limit. Bounds of times are not checked then")
@@ -51,7 +52,7 @@
 	runRegressions       bool
 	runDuration          time.Duration
 	processFaults        bool
-	moves                bool
+	moves, bursts        bool
 	signalsAfterOutput   bool
 	daemons, busy        int
 	share                float64
--- a/tests/soak/resets.go
+++ b/tests/soak/resets.go
@@ -36,6 +36,9 @@
 // size returns the size of the deployments. Daemons tell only those of their own zone that a backend server has crashed, so that flows move within
 // a single zone.
 func (o *options) size() size {
+	if o.bursts {
+		return size{zones: zones, daemons: 9, backendsPerZone: 1, flows: burstBaseFlows}
+	}
 	if o.moves {
 		return size{zones: 1, daemons: 3, backendsPerZone: 14, flows: 64}
 	}
--- a/tests/standins/direct/backend.go
+++ b/tests/standins/direct/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -51,6 +52,9 @@
 	// AcknowledgeAtOnce makes it acknowledge each request when it arrives. Without it the answer acknowledges the request.
 	AcknowledgeAtOnce bool
 	AnswerPadding     int // bytes of an answer after the request that it repeats
+	// QueueLength is how many requests wait while the slots of the entry are busy. Further ones are answered at once, without running, and the
+	// service time varies from half to one and a half of it. 0 means that all requests run at once.
+	QueueLength int
 }
 
 // Answers are retransmitted like requests, as callers send an acknowledged request only once.
@@ -72,6 +76,8 @@
 	noNewFlowsAfter time.Time
 	noOpeningsAfter time.Time // of the evacuated zone; zero while it is not evacuated
 	openings        []time.Time
+	busy            int      // slots
+	waiting         []func() // requests in the queue
 
 	crashed           bool
 	lastOpeningPacket time.Time // arrival of the newest opening packet since the crash
@@ -234,19 +240,61 @@
 		delete(b.flows, key)
 	case len(data) > 0 && p.SequenceNumber == f.expectedSequence:
 		f.expectedSequence += uint32(p.DataLength)
-		b.runCounts[binary.BigEndian.Uint64(data)]++
 		if b.config.AcknowledgeAtOnce {
 			b.send(&p, editor.Flags{ACK: true}, f.ownSequence, f.expectedSequence, nil)
 		}
-		time.AfterFunc(b.config.ServiceTime, func() {
-			b.sendAnswer(p, f, append(append([]byte("answer "), data...), make([]byte, b.config.AnswerPadding)...))
-		})
+		answer := func() { b.sendAnswer(p, f, append(append([]byte("answer "), data...), make([]byte, b.config.AnswerPadding)...)) }
+		b.enqueue(func() {
+			b.runCounts[binary.BigEndian.Uint64(data)]++
+			time.AfterFunc(b.serviceTime(), func() {
+				answer()
+				if b.config.QueueLength > 0 {
+					b.releaseSlot()
+				}
+			})
+		}, answer)
 	// A retransmission of the last request: the answer was lost.
 	case len(data) > 0 && f.lastAnswer != nil && p.SequenceNumber+uint32(p.DataLength) == f.expectedSequence:
 		b.send(&p, editor.Flags{ACK: true}, f.ownSequence-uint32(len(f.lastAnswer)+checksumSize), f.expectedSequence, f.lastAnswer)
 	}
 }
 
+// enqueue runs a request, now or when a slot is free, or rejects it if the queue is full. The caller holds mu.
+func (b *Backend) enqueue(run, reject func()) {
+	switch {
+	case b.config.QueueLength == 0:
+		run()
+	case b.busy < b.config.Server.Slots:
+		b.busy++
+		run()
+	case len(b.waiting) < b.config.QueueLength:
+		b.waiting = append(b.waiting, run)
+	default:
+		time.AfterFunc(0, reject)
+	}
+}
+
+// releaseSlot ends a request and runs the next one.
+func (b *Backend) releaseSlot() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.waiting) == 0 {
+		b.busy--
+		return
+	}
+	next := b.waiting[0]
+	b.waiting = b.waiting[1:]
+	next()
+}
+
+// serviceTime returns the time that the next request takes.
+func (b *Backend) serviceTime() time.Duration {
+	if b.config.QueueLength == 0 {
+		return b.config.ServiceTime
+	}
+	return b.config.ServiceTime/2 + rand.N(b.config.ServiceTime)
+}
+
 func (b *Backend) sendAnswer(p editor.Packet, f *servedFlow, data []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/tests/standins/direct/caller.go
+++ b/tests/standins/direct/caller.go
@@ -58,6 +58,7 @@
 	lastPort      atomic.Uint32
 	lastRequestID atomic.Uint64
 	pause         atomic.Int64 // between two requests
+	leaving       atomic.Bool
 
 	mu          sync.Mutex
 	flows       map[uint16]chan receivedPacket
@@ -92,6 +93,9 @@
 // SetPause sets the pause between two requests from the next one of each flow on.
 func (c *Callers) SetPause(pause time.Duration) { c.pause.Store(int64(pause)) }
 
+// Leave makes the callers close their flows after the answers to their requests, and open no others.
+func (c *Callers) Leave() { c.leaving.Store(true) }
+
 // Run keeps the flows open until ctx ends.
 func (c *Callers) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -101,7 +105,7 @@
 	for i := range c.config.Flows {
 		group.Go(func() error {
 			sleep(ctx, c.config.RequestPause*time.Duration(i)/time.Duration(c.config.Flows))
-			for ctx.Err() == nil {
+			for ctx.Err() == nil && !c.leaving.Load() {
 				c.runFlow(ctx)
 			}
 			return nil
@@ -157,6 +161,9 @@
 		if !c.sendRequest(ctx, &p, in) || !sleep(ctx, time.Duration(c.pause.Load())) {
 			return
 		}
+		if c.leaving.Load() {
+			break
+		}
 	}
 	p.Flags = editor.Flags{ACK: true, FIN: true}
 	c.send(&p, nil)
