--- a/services/inquirer/inquirer.go
+++ b/services/inquirer/inquirer.go
@@ -102,7 +102,8 @@
 
 // Inquirer asks about the flows that one daemon wants to reset.
 type Inquirer struct {
-	members   []netip.AddrPort // the other daemons of the zone
+	listed    []netip.AddrPort // the daemons of the zone as they were set
+	members   []netip.AddrPort // the others among them
 	lost      []netip.AddrPort // those that have failed lately
 	digest    uint64
 	takeovers map[netip.AddrPort]time.Time // until when a daemon may take flows over, as it has announced
@@ -132,9 +133,13 @@
 // daemons that have failed within the lifetime of a flow. A change ends all inquiries.
 func (q *Inquirer) SetMembers(self netip.AddrPort, members, lost []netip.AddrPort) {
 	q.only = false
+	if slices.Equal(members, q.listed) && slices.Equal(lost, q.lost) {
+		return
+	}
+	q.listed = slices.Clone(members)
 	others := slices.DeleteFunc(slices.Clone(members), func(m netip.AddrPort) bool { return m == self })
 	digest := digestOf(others) ^ digestOf([]netip.AddrPort{self})
-	if digest == q.digest && slices.Equal(lost, q.lost) {
+	if digest == q.digest && slices.Equal(lost, q.lost) { // another order
 		return
 	}
 	q.members, q.lost, q.digest = others, slices.Clone(lost), digest
--- a/tests/integration/direct_test.go
+++ b/tests/integration/direct_test.go
@@ -1,6 +1,7 @@
 package integration_test
 
 import (
+	"hash/crc32"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -27,8 +28,10 @@
 	return startDeploymentWith(deployment.Config{Binaries: binaries, Zones: 2, DaemonsPerZone: 2, BackendsPerZone: 3, FlowsPerService: 15})
 }
 
-// startDeploymentWith starts a deployment like startDeployment.
+// startDeploymentWith starts a deployment like startDeployment. About half of the specs have backend servers that acknowledge requests when they
+// arrive, always the same ones.
 func startDeploymentWith(c deployment.Config) *deployment.Deployment {
+	c.AcknowledgeAtOnce = crc32.ChecksumIEEE([]byte(CurrentSpecReport().FullText()))%2 == 0
 	d, err := deployment.Start(c)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() {
--- a/tests/replay/unresponsive.go
+++ b/tests/replay/unresponsive.go
@@ -37,7 +37,9 @@
 	pauses      bool      // daemons are paused for 0.6 s, one every 0.5 s
 	deadDaemons int       // daemons that lose their links at the time of the fault
 	oneWay      direction // that is cut at an eighth of the daemons, at least one
-	probes      bool      // the exchange and the probes of this version, otherwise those of the previous one
+	// acknowledges makes backend servers acknowledge a request when it arrives, instead of with the answer.
+	acknowledges bool
+	probes       bool // the exchange and the probes of this version, otherwise those of the previous one
 }
 
 // faultResult is what a case shows.
@@ -75,6 +77,8 @@
 	hold    bool
 	busy    bool
 	pending int // number of the request that is waiting for its answer, 0 if none is
+	// acknowledged is the number of the newest request that the backend server has acknowledged before its answer.
+	acknowledged int
 }
 
 // faultModel simulates one case.
@@ -236,7 +240,7 @@
 
 // send transmits the packet of a request, and again until it is answered or the flow is reset.
 func (m *faultModel) send(f *pooledFlow, number int, delay time.Duration, first bool) {
-	if f.pending != number {
+	if f.pending != number || f.acknowledged == number {
 		return
 	}
 	p, ran := f.packet, false
@@ -255,6 +259,9 @@
 				}
 				if !f.server.dead && f.daemon.lost != daemonToServer && !m.isLost() && !ran {
 					ran = true
+					if m.acknowledges && m.flowRandom.Float64() >= m.loss {
+						m.after(networkDelay, func() { f.acknowledged = number })
+					}
 					m.serve(f, number)
 				}
 			}
--- a/tests/replay/unresponsive_test.go
+++ b/tests/replay/unresponsive_test.go
@@ -29,6 +29,9 @@
 // fails: 27 and 48 daemons with a flow or two at each backend server noticed nothing for five seconds.
 func TestUnresponsive(t *testing.T) {
 	for _, daemons := range []int{4, 27, 48} {
+		if r := runFault(faultCase{daemons: daemons, dead: zoneDeadServers, probes: true, acknowledges: true}, 3); r.falseResets > 0 {
+			t.Errorf("%d daemons, requests acknowledged at once: %d false resets", daemons, r.falseResets)
+		}
 		r := runFault(faultCase{daemons: daemons, dead: zoneDeadServers, probes: true}, 3) // the runs stand for the three zones
 		t.Logf("%d daemons: from the last answer to the last request, median %d ms, longest %d ms; from the first lost request, longest %d ms; %d requests lost",
 			daemons, quantile(r.lastRequest, 0.5), quantile(r.lastRequest, 1), quantile(r.afterFirstLost, 1), r.lostHolds)
@@ -45,13 +48,15 @@
 		if c.dead > 0 {
 			continue
 		}
-		t.Run(fmt.Sprint(c.name, " ", c.daemons), func(t *testing.T) {
-			t.Parallel()
-			c.probes = true
-			if r := runFault(c, faultSeeds); r.falseResets > 0 {
-				t.Errorf("%d false resets", r.falseResets)
-			}
-		})
+		for _, acknowledges := range []bool{false, true} {
+			t.Run(fmt.Sprint(c.name, " ", c.daemons, " acknowledges ", acknowledges), func(t *testing.T) {
+				t.Parallel()
+				c.probes, c.acknowledges = true, acknowledges
+				if r := runFault(c, faultSeeds); r.falseResets > 0 {
+					t.Errorf("%d false resets", r.falseResets)
+				}
+			})
+		}
 	}
 }
 
--- a/tests/soak/bursts.go
+++ b/tests/soak/bursts.go
@@ -34,4 +34,3 @@
 	}
 	in.schedule(burstDuration, burstDuration+time.Millisecond, callers.Leave)
 }
-
--- a/tests/standins/direct/backend.go
+++ b/tests/standins/direct/backend.go
@@ -243,7 +243,9 @@
 		if b.config.AcknowledgeAtOnce {
 			b.send(&p, editor.Flags{ACK: true}, f.ownSequence, f.expectedSequence, nil)
 		}
-		answer := func() { b.sendAnswer(p, f, append(append([]byte("answer "), data...), make([]byte, b.config.AnswerPadding)...)) }
+		answer := func() {
+			b.sendAnswer(p, f, append(append([]byte("answer "), data...), make([]byte, b.config.AnswerPadding)...))
+		}
 		b.enqueue(func() {
 			b.runCounts[binary.BigEndian.Uint64(data)]++
 			time.AfterFunc(b.serviceTime(), func() {
