tests: the replay runs its cases in parallel, fuzzing on 8 processors, builds without paths

No check, bound, seed or number of inputs changes. Subtests of the overload cases run in parallel within a test, so that tests do not share runs at the same time.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,8 @@
 # Targets for building, testing and measuring bluebelldyke. `make help` lists them.
 GO ?= go
+# Without paths of this folder, what was built in another checkout of the same commit need not be built again.
+GOFLAGS := $(strip $(shell $(GO) env GOFLAGS) -trimpath)
+export GOFLAGS
 SEED ?= 1
 BIN := bin
 TOOL = $(GO) tool -modfile=tools/go.mod
@@ -10,7 +13,7 @@
 # A number of inputs instead of a duration: with a duration, go test sometimes fails at its end with "context deadline exceeded".
 FUZZ_TIME ?= 60000x
 # Fuzz targets and specs that run in parallel. Specs mostly wait; each has its own block of ports.
-FUZZ_PROCS ?= 6
+FUZZ_PROCS ?= 8
 SPEC_PROCS ?= 4
 # Tests listed in KNOWN-RED.txt, whose entries begin with the name of the test or, for a spec, with "spec". Specs are labelled known-red.
 KNOWN_RED = $(shell sed -nE 's|^(Test[A-Z][A-Za-z0-9_/]*).*|\1|p' KNOWN-RED.txt | sed -E 's|/|$$/^|g; s|^|^|; s|$$|$$|' | paste -sd'|')
--- a/tests/replay/calm_test.go
+++ b/tests/replay/calm_test.go
@@ -38,6 +38,7 @@
 // TestCalmNeverHeld guards against requests that are held, dropped or rejected, and against reports between daemons, although the load is
 // a fifth of the capacity.
 func TestCalmNeverHeld(t *testing.T) {
+	t.Parallel()
 	forEachCalmCase(t, func(g *WithT, c overloadCase, daemons int, seed uint64) {
 		m := simulateOverload(c, c.generate(rand.New(rand.NewPCG(seed, 3))), daemons, seed, sharedPolicy())
 		for z, zone := range m.daemons {
@@ -51,6 +52,7 @@
 
 // TestFalseAlarm guards against a daemon with a slow link or processor whose reports make the other daemons of its zone hold requests.
 func TestFalseAlarm(t *testing.T) {
+	t.Parallel()
 	forEachCalmCase(t, func(g *WithT, c overloadCase, daemons int, seed uint64) {
 		c.endLoad, c.slowDaemonDelay = 20*time.Second, 500*time.Millisecond
 		m := simulateOverload(c, c.generate(rand.New(rand.NewPCG(seed, 3))), daemons, seed, sharedPolicy())
--- a/tests/replay/outage_test.go
+++ b/tests/replay/outage_test.go
@@ -45,6 +45,7 @@
 // TestReturn guards against new requests that are late after a loss of all daemons although the capacity suffices, and against requests of
 // the type unsafe that run twice.
 func TestReturn(t *testing.T) {
+	t.Parallel()
 	forEachReturn(t, "newsroom-return", func(g *WithT, c *overloadCase, specs []spec, before, after *overloadModel) {
 		started, _ := after.returnValue(specs)
 		g.Expect(started).To(BeNumerically(">=", minReturnScore), "value of the requests sent in the 2 s from the return")
@@ -55,6 +56,7 @@
 // TestReturnWithoutStore guards against packets that wait for the store and are then handled in an order that is no better than that of
 // arrival, and against queues of backend servers that they fill.
 func TestReturnWithoutStore(t *testing.T) {
+	t.Parallel()
 	forEachReturn(t, "newsroom-return-no-store", func(g *WithT, c *overloadCase, specs []spec, before, after *overloadModel) {
 		startedBefore, _ := before.returnValue(specs)
 		started, _ := after.returnValue(specs)
@@ -76,6 +78,7 @@
 // TestReturnAtHighLoad guards against full queues of backend servers that are busy to a half when all daemons return, whether or not the
 // daemons know each other at once.
 func TestReturnAtHighLoad(t *testing.T) {
+	t.Parallel()
 	for _, s := range scenarios {
 		for _, s.membersDelay = range []time.Duration{0, membersDelay} {
 			for seed := uint64(1); seed <= 2 && s.name == "outage-fresh"; seed++ {
@@ -92,6 +95,7 @@
 
 // TestStartLimitWithoutNeed guards against a limit that changes a return in which the backend servers have room.
 func TestStartLimitWithoutNeed(t *testing.T) {
+	t.Parallel()
 	for _, s := range scenarios {
 		if s.name == "outage" {
 			NewWithT(t).Expect(simulate(s, 1, newStartLimitPolicy).windowScores).To(Equal(simulate(s, 1, newSteererPolicy).windowScores))
--- a/tests/replay/overload_test.go
+++ b/tests/replay/overload_test.go
@@ -58,7 +58,10 @@
 					r.shared = sync.OnceValue(func() *overloadModel { return simulateOverload(c, r.specs, daemons, seed+1, sharedPolicy()) })
 					return r
 				}))
-				t.Run(name, func(t *testing.T) { check(NewWithT(t), once.(func() *overloadRun)()) })
+				t.Run(name, func(t *testing.T) {
+					t.Parallel()
+					check(NewWithT(t), once.(func() *overloadRun)())
+				})
 			}
 		}
 	}
--- a/tests/replay/placement_test.go
+++ b/tests/replay/placement_test.go
@@ -17,6 +17,7 @@
 // TestCalmPlacement guards against calm load that is spread less evenly over the backend servers than the target allows, and against
 // moved flow openings beyond their budget, in zones of 4, 27 and 48 daemons.
 func TestCalmPlacement(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	var group errgroup.Group
 	group.SetLimit(2)
@@ -41,6 +42,7 @@
 // TestSlowPlacement guards against digests that do not help: in a zone of 48 daemons at 0.3 slow backend servers, requests with a flow each
 // must be late less often than under the policy of today.
 func TestSlowPlacement(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	for _, s := range placementScenarios() {
 		if s.name != "single requests, 48 daemons, 0.3 slow" {
--- a/tests/replay/probes_test.go
+++ b/tests/replay/probes_test.go
@@ -10,6 +10,7 @@
 // TestLoadedOnlyServer guards against resets of the flows of a live backend server that is the only one of its zone: it acknowledges requests
 // with their answers, which are late under load, and no other backend server of the zone has answered by which a probe could be judged.
 func TestLoadedOnlyServer(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	s := scenario{
 		usersPerZone: 16, thinkTime: 500 * time.Millisecond, serviceTime: 120 * time.Millisecond, deadline: 2500 * time.Millisecond,
--- a/tests/replay/spillover_test.go
+++ b/tests/replay/spillover_test.go
@@ -12,6 +12,7 @@
 // tenth of the new flows to other zones on calm load, under a swing of 0.55 or while clients move, that makes new flows alternate between
 // zones, or after which they do not return within 5 s of the recovery. No flow of a live backend server may be reset.
 func TestSpilloverRule(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	const calm, moves, slow = "newsroom, 27 daemons, calm", "newsroom, 27 daemons, swing, moves", "newsroom, 27 daemons, half slow, triple load"
 	var group errgroup.Group
--- a/tests/replay/unresponsive_test.go
+++ b/tests/replay/unresponsive_test.go
@@ -28,6 +28,7 @@
 // that are reset too late: 40 requests of the class slot-hold may be lost in the three zones. With the previous exchange of findings it
 // fails: 27 and 48 daemons with a flow or two at each backend server noticed nothing for five seconds.
 func TestUnresponsive(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range []int{4, 27, 48} {
 		if r := runFault(faultCase{daemons: daemons, dead: zoneDeadServers, probes: true, acknowledges: true}, 3); r.falseResets > 0 {
 			t.Errorf("%d daemons, requests acknowledged at once: %d false resets", daemons, r.falseResets)
@@ -62,6 +63,7 @@
 
 // TestCutDaemons guards against resets of flows by daemons whose links are cut, at the size of the zone where they are most of the probers.
 func TestCutDaemons(t *testing.T) {
+	t.Parallel()
 	r := runFault(faultCase{daemons: 4, deadDaemons: 2, probes: true}, faultSeeds)
 	if r.falseResets > 0 {
 		t.Errorf("%d false resets", r.falseResets)
@@ -71,6 +73,7 @@
 // TestDeadProbers guards against a zone that notices nothing because a third of its daemons, with probers and aggregators among them, died
 // with the backend servers. The bound is that of the flows alone (docs/design/hard-load.md, section 8: 560 ms) and one round of probes.
 func TestDeadProbers(t *testing.T) {
+	t.Parallel()
 	r := runFault(faultCase{daemons: 27, dead: zoneDeadServers, deadDaemons: 9, probes: true}, faultSeeds)
 	if median := quantile(r.afterFirstLost, 0.5); time.Duration(median)*time.Millisecond > 560*time.Millisecond+time.Second || r.falseResets > 0 {
 		t.Errorf("median %d ms from the first to the last lost request, %d false resets", median, r.falseResets)
@@ -101,6 +104,7 @@
 // not reach the backend servers may reset the flows that pass through it. The case of one daemon of four that does not reach them is
 // TestOneWayToServers.
 func TestOneWayLinks(t *testing.T) {
+	t.Parallel()
 	for _, lost := range []direction{clientToDaemon, daemonToDaemons, daemonsToDaemon} {
 		expectNoHarmOneWay(t, 4, lost)
 	}
