inquirer: no idle flow is reset beside a daemon that does not answer queries

During a roll-out, daemons of the version before neither answer queries nor announce takeovers. They counted as failed daemons that had announced none, so that flows which they carry could be reset with an old acknowledgement. A disputed view of the zone counts only until the daemon is asked again.

--- a/internal/direct/runner/messages_test.go
+++ b/internal/direct/runner/messages_test.go
@@ -155,7 +155,7 @@
 	d.TakeFindings(d.now)
 	d.TakeDigest(d.now)
 	d.TakeAdmissionReports(d.now)
-	d.SetForwarders(fuzzedSelf, []netip.AddrPort{fuzzedSelf, fuzzedPeer}, nil)
+	d.SetForwarders(fuzzedSelf, &inquirer.Zone{Members: []netip.AddrPort{fuzzedSelf, fuzzedPeer}})
 	d.TakeLostFlows(d.now)
 	d.TakeQueries(d.now)
 	d.TakeTakeover(d.now)
--- a/internal/direct/runner/runner.go
+++ b/internal/direct/runner/runner.go
@@ -35,6 +35,7 @@
 	"github.com/bluebelldyke/bluebelldyke/routers/operator"
 	"github.com/bluebelldyke/bluebelldyke/routers/peers"
 	"github.com/bluebelldyke/bluebelldyke/services/auditor"
+	"github.com/bluebelldyke/bluebelldyke/services/inquirer"
 	"github.com/bluebelldyke/bluebelldyke/services/limiter"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
@@ -201,7 +202,10 @@
 	t.OnAdmissionReports(f.SendAdmissionReports)
 	t.SetZoneMembers(p.Address(), p.ZoneMembers)
 	t.SetMembershipGeneration(p.Generation)
-	t.SetForwarders(p.ZoneForwarders)
+	t.SetForwarders(func() inquirer.Zone {
+		live, lost, legacy := p.ZoneForwarders()
+		return inquirer.Zone{Members: live, Lost: lost, Legacy: legacy}
+	})
 	if s.EvenTies {
 		t.SetZoneRank(func() int { return countBefore(p.ZoneMembers(), p.Address()) })
 	}
--- a/internal/direct/transporter/sightings.go
+++ b/internal/direct/transporter/sightings.go
@@ -12,11 +12,9 @@
 	"github.com/bluebelldyke/bluebelldyke/services/inquirer"
 )
 
-// SetForwarders sets the function that returns the daemons of the availability zone to which the fabric may send packets, and those that have
-// failed lately. It is called before Run.
-func (t *Transporter) SetForwarders(forwarders func() (live, lost []netip.AddrPort)) {
-	t.forwarders = forwarders
-}
+// SetForwarders sets the function that returns the daemons of the availability zone to which the fabric may send packets. It is called before
+// Run.
+func (t *Transporter) SetForwarders(forwarders func() inquirer.Zone) { t.forwarders = forwarders }
 
 // OnQueries sets the function that sends queries about idle flows to other daemons. It is called before Run.
 func (t *Transporter) OnQueries(send func([]inquirer.Message)) { t.sendQueries = send }
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -105,7 +105,7 @@
 	zoneMembers       func() []netip.AddrPort
 	zoneRank          func() int
 	generation        func() uint64 // of the membership
-	forwarders        func() (live, lost []netip.AddrPort)
+	forwarders        func() inquirer.Zone
 	announceTakeover  func(hold time.Duration)
 	sendQueries       func([]inquirer.Message)
 	sendDigest        func([]estimator.Record)
@@ -336,8 +336,7 @@
 	members    []netip.AddrPort
 	rank       int
 	generation uint64
-	forwarders []netip.AddrPort
-	lost       []netip.AddrPort // daemons that have failed lately
+	forwarders inquirer.Zone
 }
 
 // zoneView returns the view of the membership.
@@ -353,7 +352,7 @@
 		v.generation = t.generation()
 	}
 	if t.forwarders != nil {
-		v.forwarders, v.lost = t.forwarders()
+		v.forwarders = t.forwarders()
 	}
 	return v
 }
@@ -398,7 +397,7 @@
 	t.c.Steerer.SetZoneRank(view.rank)
 	t.c.Steerer.SetMembershipGeneration(now, view.generation)
 	if t.forwarders != nil {
-		t.c.Steerer.SetForwarders(t.self, view.forwarders, view.lost)
+		t.c.Steerer.SetForwarders(t.self, &view.forwarders)
 	}
 	d := due{findings: t.c.Steerer.TakeFindings(now), resets: t.c.Steerer.TakeLostFlows(now), digest: t.c.Steerer.TakeDigest(now), delays: t.c.Steerer.TakeAdmissionReports(now)}
 	d.queries = t.c.Steerer.TakeQueries(now)
--- a/routers/peers/members.go
+++ b/routers/peers/members.go
@@ -19,7 +19,7 @@
 
 // ZoneForwarders returns the members of the own availability zone to which the fabric may send packets, and those that have failed lately; see
 // gossiper.Gossiper.ZoneForwarders.
-func (p *Peers) ZoneForwarders() (live, lost []netip.AddrPort) {
+func (p *Peers) ZoneForwarders() (live, lost []netip.AddrPort, legacy bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.gossiper.ZoneForwarders(time.Now())
--- a/services/gossiper/gossiper.go
+++ b/services/gossiper/gossiper.go
@@ -217,7 +217,7 @@
 		cfg: c,
 		self: packer.Member{
 			Address: c.Self, AvailabilityZone: c.AvailabilityZone, Incarnation: c.Incarnation,
-			KnowsEras: true, KnowsEvacuations: true, AggregatesFindings: true, Weak: c.Weak,
+			KnowsEras: true, KnowsEvacuations: true, AggregatesFindings: true, AnswersQueries: true, Weak: c.Weak,
 		},
 		members:            make(map[netip.AddrPort]*member),
 		probes:             make(map[uint64]*probe),
@@ -278,19 +278,20 @@
 
 // ZoneForwarders returns the members of the own availability zone to which the fabric may send packets, including this daemon: the live ones,
 // also while they leave. lost are those that were declared dead without having announced their stop less than lostTTL ago: they may have
-// forwarded packets until then, and may still run out of reach of the others.
-func (g *Gossiper) ZoneForwarders(now time.Time) (live, lost []netip.AddrPort) {
+// forwarded packets until then, and may still run out of reach of the others. legacy is set if one of the live ones does not answer queries.
+func (g *Gossiper) ZoneForwarders(now time.Time) (live, lost []netip.AddrPort, legacy bool) {
 	live = append(live, g.self.Address)
 	for _, a := range g.memberOrder {
 		switch m := g.members[a]; {
 		case m.AvailabilityZone != g.self.AvailabilityZone:
 		case m.isLive():
 			live = append(live, a)
+			legacy = legacy || !m.AnswersQueries
 		case !m.Leaving && now.Before(m.deadline.Add(lostTTL-tombstoneLifetime)):
 			lost = append(lost, a)
 		}
 	}
-	return live, lost
+	return live, lost, legacy
 }
 
 // RandomPeers returns up to n distinct live members of the own availability zone, without this daemon.
--- a/services/gossiper/merge.go
+++ b/services/gossiper/merge.go
@@ -31,11 +31,13 @@
 		u.KnowsEras = u.KnowsEras || known.KnowsEras
 		u.KnowsEvacuations = u.KnowsEvacuations || known.KnowsEvacuations
 		u.AggregatesFindings = u.AggregatesFindings || known.AggregatesFindings
+		u.AnswersQueries = u.AnswersQueries || known.AnswersQueries
 		u.Weak = u.Weak || known.Weak
 		if u.Weak != known.Weak {
 			g.cachedRepresentatives = nil
 		}
-		known.KnowsEras, known.KnowsEvacuations, known.AggregatesFindings, known.Weak = u.KnowsEras, u.KnowsEvacuations, u.AggregatesFindings, u.Weak
+		known.KnowsEras, known.KnowsEvacuations, known.AggregatesFindings = u.KnowsEras, u.KnowsEvacuations, u.AggregatesFindings
+		known.AnswersQueries, known.Weak = u.AnswersQueries, u.Weak
 	}
 	if !supersedes(u, known.Member) {
 		return nil
--- a/services/gossiper/merge_test.go
+++ b/services/gossiper/merge_test.go
@@ -62,7 +62,7 @@
 	}
 	check := func(want, wantLost []netip.AddrPort) {
 		t.Helper()
-		if live, lost := g.ZoneForwarders(now); !slices.Equal(live, want) || !slices.Equal(lost, wantLost) {
+		if live, lost, _ := g.ZoneForwarders(now); !slices.Equal(live, want) || !slices.Equal(lost, wantLost) {
 			t.Errorf("forwarders %v, lost %v, want %v, %v", live, lost, want, wantLost)
 		}
 	}
@@ -84,4 +84,11 @@
 	check([]netip.AddrPort{address(1)}, []netip.AddrPort{address(2)})
 	update(packer.Member{Address: address(2), Incarnation: 6})
 	check([]netip.AddrPort{address(1), address(2)}, nil)
+	if _, _, legacy := g.ZoneForwarders(now); !legacy {
+		t.Error("a member of an earlier version is taken for one that answers queries")
+	}
+	update(packer.Member{Address: address(2), Incarnation: 6, AnswersQueries: true, Leaving: true})
+	if _, _, legacy := g.ZoneForwarders(now); legacy {
+		t.Error("no member is of an earlier version")
+	}
 }
--- a/services/inquirer/inquirer.go
+++ b/services/inquirer/inquirer.go
@@ -5,7 +5,7 @@
 // while the fabric uses none of the zone's daemons, so there must have been no time without any packet in the zone either.
 //
 // A daemon that has failed does not answer. It has not carried the flow if it announced no takeovers since the flow was last seen here: a daemon
-// announces when it gets packets of flows that it has not opened. What this leaves open is a daemon that reaches none of its peers while
+// announces when it gets packets of flows whose earlier packets it has not seen. What this leaves open is a daemon that reaches none of its peers while
 // the fabric goes on sending to it.
 //
 // Why such a reset is valid: a backend server sends at most 16 packets, 19,200 bytes, beyond the newest acknowledgement that has reached it,
@@ -67,6 +67,16 @@
 	Sightings []Sighting
 }
 
+// Zone is what a daemon knows about the daemons of its availability zone.
+type Zone struct {
+	// Members are the addresses of all daemons to which the fabric may send packets of the zone's flows, with that of this daemon.
+	Members []netip.AddrPort
+	// Lost are those that have failed within the lifetime of a flow.
+	Lost []netip.AddrPort
+	// Legacy is set if one of the members is of a version that does not answer queries. No flow is reset without a packet then.
+	Legacy bool
+}
+
 // Message is a query to a daemon.
 type Message struct {
 	To    netip.AddrPort
@@ -94,7 +104,7 @@
 	candidates []Candidate // those of the query; Flow is the zero value once the flow must not be reset
 	missing    []netip.AddrPort
 	activity   Activity // of all daemons that have answered, and of this one
-	disputed   bool     // a daemon knows other daemons of the zone
+	disputed   bool     // a daemon knows other daemons of the zone, according to its answer to the newest query
 	startedAt  time.Time
 	nextAt     time.Time     // when the missing daemons are asked next
 	interval   time.Duration // from then to the time after
@@ -105,6 +115,7 @@
 	listed    []netip.AddrPort // the daemons of the zone as they were set
 	members   []netip.AddrPort // the others among them
 	lost      []netip.AddrPort // those that have failed lately
+	legacy    bool             // one of the others does not answer queries
 	digest    uint64
 	takeovers map[netip.AddrPort]time.Time // until when a daemon may take flows over, as it has announced
 	only      bool                         // there is no other daemon in any zone
@@ -114,7 +125,7 @@
 	counts    Counts
 }
 
-// New returns an Inquirer of the only daemon, as long as SetMembers is not called: it asks nobody. The ids of its queries follow lastID, which
+// New returns an Inquirer of the only daemon, as long as SetZone is not called: it asks nobody. The ids of its queries follow lastID, which
 // should be random: an answer to an earlier process at the same address must not match.
 func New(lastID uint64) *Inquirer {
 	return &Inquirer{lastID: lastID, only: true, takeovers: map[netip.AddrPort]time.Time{}}
@@ -129,26 +140,25 @@
 	return digest
 }
 
-// SetMembers sets the addresses of all daemons of the zone to which the fabric may send packets, with that of this daemon, and those of the
-// daemons that have failed within the lifetime of a flow. A change ends all inquiries.
-func (q *Inquirer) SetMembers(self netip.AddrPort, members, lost []netip.AddrPort) {
-	q.only = false
-	if slices.Equal(members, q.listed) && slices.Equal(lost, q.lost) {
+// SetZone sets the daemons of the zone. A change of the members or of the lost ones ends all inquiries.
+func (q *Inquirer) SetZone(self netip.AddrPort, z *Zone) {
+	q.only, q.legacy = false, z.Legacy
+	if slices.Equal(z.Members, q.listed) && slices.Equal(z.Lost, q.lost) {
 		return
 	}
-	q.listed = slices.Clone(members)
-	others := slices.DeleteFunc(slices.Clone(members), func(m netip.AddrPort) bool { return m == self })
+	q.listed = slices.Clone(z.Members)
+	others := slices.DeleteFunc(slices.Clone(z.Members), func(m netip.AddrPort) bool { return m == self })
 	digest := digestOf(others) ^ digestOf([]netip.AddrPort{self})
-	if digest == q.digest && slices.Equal(lost, q.lost) { // another order
+	if digest == q.digest && slices.Equal(z.Lost, q.lost) { // another order
 		return
 	}
-	q.members, q.lost, q.digest = others, slices.Clone(lost), digest
+	q.members, q.lost, q.digest = others, slices.Clone(z.Lost), digest
 	for _, i := range q.inquiries {
 		q.abandon(i)
 	}
 	q.inquiries = nil
 	for m := range q.takeovers {
-		if !slices.Contains(others, m) && !slices.Contains(lost, m) {
+		if !slices.Contains(others, m) && !slices.Contains(z.Lost, m) {
 			delete(q.takeovers, m)
 		}
 	}
@@ -173,6 +183,9 @@
 	case q.only:
 		q.confirm(candidates)
 		return
+	case q.legacy:
+		q.counts.Unanswered += uint64(len(candidates))
+		return
 	case len(q.members) == 0:
 		q.conclude(now, &inquiry{candidates: slices.Clone(candidates), activity: own})
 		return
@@ -247,7 +260,7 @@
 		if now.Before(i.nextAt) {
 			continue
 		}
-		i.nextAt, i.interval = now.Add(i.interval), 2*i.interval
+		i.nextAt, i.interval, i.disputed = now.Add(i.interval), 2*i.interval, false
 		for _, m := range i.missing {
 			list = append(list, Message{To: m, Query: i.query})
 		}
@@ -281,7 +294,7 @@
 		return false
 	}
 	if r.Members != q.digest {
-		i.disputed = true // until a later answer agrees; the daemon is asked again
+		i.disputed = true // until the daemon is asked again
 		return false
 	}
 	i.missing = slices.Delete(i.missing, member, member+1)
@@ -292,7 +305,6 @@
 	if len(i.missing) > 0 {
 		return false
 	}
-	i.disputed = false
 	q.inquiries = slices.Delete(q.inquiries, at, at+1)
 	q.conclude(now, i)
 	return true
--- a/services/inquirer/inquirer_test.go
+++ b/services/inquirer/inquirer_test.go
@@ -22,7 +22,7 @@
 
 func ExampleInquirer() {
 	q := inquirer.New(0)
-	q.SetMembers(self, peers, nil)
+	q.SetZone(self, &inquirer.Zone{Members: peers})
 	q.Start(start, []inquirer.Candidate{{Flow: flow, LastSeen: start.Add(-5 * time.Second), Acknowledgement: 1000}}, busy)
 	now := start.Add(time.Millisecond)
 	for _, m := range q.TakeQueries(now) {
@@ -70,7 +70,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			q := inquirer.New(7)
-			q.SetMembers(self, peers, nil)
+			q.SetZone(self, &inquirer.Zone{Members: peers})
 			q.Start(start, []inquirer.Candidate{{Flow: flow, LastSeen: start.Add(-idle), Acknowledgement: 1000}}, inquirer.Activity{})
 			now := start.Add(time.Millisecond)
 			queries := q.TakeQueries(now)
@@ -121,7 +121,7 @@
 func TestResend(t *testing.T) {
 	g := NewWithT(t)
 	q := inquirer.New(7)
-	q.SetMembers(self, peers, nil)
+	q.SetZone(self, &inquirer.Zone{Members: peers})
 	q.Start(start, []inquirer.Candidate{{Flow: flow, LastSeen: start.Add(-time.Second)}}, busy)
 	reply := inquirer.Reply{ID: 8, Memory: time.Minute, Members: q.Members(), Sightings: make([]inquirer.Sighting, 1)}
 	g.Expect(q.TakeQueries(start)).To(HaveLen(2))
@@ -170,10 +170,10 @@
 			q := inquirer.New(7)
 			failed := netip.MustParseAddrPort("10.1.0.4:7400")
 			members := append(slices.Clone(peers), failed)
-			q.SetMembers(self, members, nil)
+			q.SetZone(self, &inquirer.Zone{Members: members})
 			q.AddTakeover(failed, start.Add(c.takeover))
 			if c.lost {
-				q.SetMembers(self, peers, []netip.AddrPort{failed})
+				q.SetZone(self, &inquirer.Zone{Members: peers, Lost: []netip.AddrPort{failed}})
 			}
 			now := start.Add(5 * time.Second)
 			q.Start(now, []inquirer.Candidate{{Flow: flow, LastSeen: start}}, busy)
@@ -207,17 +207,20 @@
 		candidates[i] = inquirer.Candidate{Flow: inquirer.Flow{Client: netip.AddrPortFrom(flow.Client.Addr(), uint16(i+1)), Route: flow.Route}, LastSeen: start}
 	}
 	alone := inquirer.New(0)
-	alone.SetMembers(self, peers[:1], nil)
+	alone.SetZone(self, &inquirer.Zone{Members: peers[:1]})
 	alone.Start(start, candidates, busy)
 	g.Expect(alone.TakeConfirmed()).To(HaveLen(100))
 
 	q := inquirer.New(0)
-	q.SetMembers(self, peers, nil)
+	q.SetZone(self, &inquirer.Zone{Members: peers, Legacy: true})
+	q.Start(start, candidates, busy)
+	g.Expect(q.TakeQueries(start)).To(BeEmpty(), "a daemon of an earlier version may carry the flows and does not answer")
+	q.SetZone(self, &inquirer.Zone{Members: peers})
 	q.Start(start, candidates, busy)
 	g.Expect(q.TakeQueries(start)).To(HaveLen(2*5), "24 flows a query")
-	q.SetMembers(self, []netip.AddrPort{peers[2], peers[1]}, nil)
+	q.SetZone(self, &inquirer.Zone{Members: []netip.AddrPort{peers[2], peers[1]}})
 	g.Expect(q.TakeQueries(start.Add(100*time.Millisecond))).To(HaveLen(2*5), "the same daemons in another order")
-	q.SetMembers(self, peers[:2], nil)
+	q.SetZone(self, &inquirer.Zone{Members: peers[:2]})
 	g.Expect(q.TakeQueries(start.Add(200 * time.Millisecond))).To(BeEmpty())
-	g.Expect(q.Counts()).To(Equal(inquirer.Counts{Unanswered: 100}))
+	g.Expect(q.Counts()).To(Equal(inquirer.Counts{Unanswered: 200}))
 }
--- a/services/steerer/handover_test.go
+++ b/services/steerer/handover_test.go
@@ -51,7 +51,7 @@
 	g := NewWithT(t)
 	self := netip.MustParseAddrPort("10.1.0.1:7400")
 	d := newDaemon(1, ovenConfiguration, newBackendServer(1, "ovenwatch", "souillac"))
-	d.SetForwarders(self, []netip.AddrPort{self}, nil)
+	d.SetForwarders(self, &inquirer.Zone{Members: []netip.AddrPort{self}})
 	before, _ := d.openFlow()
 	d.Steer(d.now, before)
 	d.advance(500 * time.Millisecond)
@@ -209,7 +209,7 @@
 		if d := z.forwarders[i]; !d.stopped && d.pausedFor == 0 {
 			running = append(running, d)
 			byAddress[d.address] = d
-			d.SetForwarders(d.address, live, lost)
+			d.SetForwarders(d.address, &inquirer.Zone{Members: live, Lost: lost})
 		}
 	}
 	for _, d := range running {
--- a/services/steerer/random_test.go
+++ b/services/steerer/random_test.go
@@ -14,6 +14,7 @@
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
 	"github.com/bluebelldyke/bluebelldyke/services/admitter"
 	"github.com/bluebelldyke/bluebelldyke/services/estimator"
+	"github.com/bluebelldyke/bluebelldyke/services/inquirer"
 	"github.com/bluebelldyke/bluebelldyke/services/limiter"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
@@ -238,7 +239,7 @@
 func (m *machine) tick() {
 	m.TakeFindings(m.now)
 	self, other := netip.MustParseAddrPort("10.9.0.2:1"), netip.MustParseAddrPort("10.9.0.2:2")
-	m.SetForwarders(self, []netip.AddrPort{self, other}, nil)
+	m.SetForwarders(self, &inquirer.Zone{Members: []netip.AddrPort{self, other}})
 	for _, q := range m.TakeQueries(m.now) {
 		reply := m.AnswerQuery(m.now, &q.Query)
 		if m.random.IntN(2) == 0 {
--- a/services/steerer/sightings.go
+++ b/services/steerer/sightings.go
@@ -25,8 +25,8 @@
 	activity inquirer.ActivityLog
 }
 
-// newest returns what is known of the newest packet of a flow.
-func (f *flow) newest() sighting {
+// sighting returns what is known of the newest packet of a flow.
+func (f *flow) sighting() sighting {
 	return sighting{at: f.lastSeen, acknowledged: !f.handshaking, acknowledgement: f.lastAck}
 }
 
@@ -39,7 +39,7 @@
 	if r.forgotten == nil {
 		r.forgotten = map[flowKey]sighting{}
 	}
-	r.forgotten[key] = f.newest()
+	r.forgotten[key] = f.sighting()
 }
 
 // lose records that a packet of the time at is not remembered.
@@ -59,11 +59,8 @@
 	}
 }
 
-// SetForwarders sets the addresses of all daemons of the availability zone to which the fabric may send packets of this daemon's flows, and of
-// those that have failed lately.
-func (s *Steerer) SetForwarders(self netip.AddrPort, forwarders, lost []netip.AddrPort) {
-	s.inquirer.SetMembers(self, forwarders, lost)
-}
+// SetForwarders sets the daemons of the availability zone to which the fabric may send packets of this daemon's flows.
+func (s *Steerer) SetForwarders(self netip.AddrPort, z *inquirer.Zone) { s.inquirer.SetZone(self, z) }
 
 // TakeQueries returns the queries about idle flows that are to be sent to other daemons now.
 func (s *Steerer) TakeQueries(now time.Time) []inquirer.Message { return s.inquirer.TakeQueries(now) }
@@ -89,7 +86,7 @@
 		key := flowKey{f.Client, f.Route}
 		seen, ok := s.sightings.forgotten[key]
 		if tracked := s.flows[key]; tracked != nil {
-			seen, ok = tracked.newest(), true
+			seen, ok = tracked.sighting(), true
 		}
 		if ok {
 			r.Sightings[i] = inquirer.Sighting{Seen: true, Idle: max(now.Sub(seen.at), 0), Acknowledged: seen.acknowledged, Acknowledgement: seen.acknowledgement}
--- a/tests/replay/exchange.go
+++ b/tests/replay/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/modules/editor"
 	"github.com/bluebelldyke/bluebelldyke/services/aggregator"
+	"github.com/bluebelldyke/bluebelldyke/services/inquirer"
 	"github.com/bluebelldyke/bluebelldyke/services/prober"
 	"github.com/bluebelldyke/bluebelldyke/services/steerer"
 )
@@ -121,7 +122,7 @@
 // exchange sends findings and resets the flows of lost backend servers.
 func (d *faultDaemon) exchange() {
 	findings := d.TakeFindings(d.m.now)
-	d.SetForwarders(d.address, d.m.addresses(), nil)
+	d.SetForwarders(d.address, &inquirer.Zone{Members: d.m.addresses()})
 	lost := d.TakeLostFlows(d.m.now)
 	for i := range lost {
 		for _, f := range d.m.flows {
