--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,8 @@
 	$(BIN)/soak -ends -seed $(SOAK_SEED) -runs $(SOAK_RUNS) -binaries $(BIN)/race
 	$(BIN)/soak -ends -seed $(SOAK_SEED) -runs $(SOAK_RUNS) -daemons 7 -share 0.088
 	$(BIN)/soak -ends -seed $(SOAK_SEED) -runs $(SOAK_RUNS) -daemons 8 -share 0.4
+	$(BIN)/soak -moves -length 60s -seed $(SOAK_SEED) -runs $(SOAK_RUNS)
+	$(BIN)/soak -bursts -length 40s -seed $(SOAK_SEED) -runs $(SOAK_RUNS)
 	SOAK=1 $(GO) test -count=1 -timeout 30m ./tests/integration/... -ginkgo.focus 'mixed faults'
 
 clean: ## Remove what the build wrote.
