--- a/internal/direct/transporter/sightings.go
+++ b/internal/direct/transporter/sightings.go
@@ -12,6 +12,32 @@
 	"github.com/bluebelldyke/bluebelldyke/services/inquirer"
 )
 
+// zoneView is what the membership says about the availability zone at a tick.
+type zoneView struct {
+	members    []netip.AddrPort
+	rank       int
+	generation uint64
+	forwarders inquirer.Zone
+}
+
+// zoneView returns the view of the membership.
+func (t *Transporter) zoneView() zoneView {
+	var v zoneView
+	if t.zoneMembers != nil {
+		v.members = t.zoneMembers()
+	}
+	if t.zoneRank != nil {
+		v.rank = t.zoneRank()
+	}
+	if t.generation != nil {
+		v.generation = t.generation()
+	}
+	if t.forwarders != nil {
+		v.forwarders = t.forwarders()
+	}
+	return v
+}
+
 // SetForwarders sets the function that returns the daemons of the availability zone to which the fabric may send packets. It is called before
 // Run.
 func (t *Transporter) SetForwarders(forwarders func() inquirer.Zone) { t.forwarders = forwarders }
--- a/internal/direct/transporter/transporter.go
+++ b/internal/direct/transporter/transporter.go
@@ -331,32 +331,6 @@
 	takeover time.Duration // for which an announcement of takeovers is to hold; 0 if there is none
 }
 
-// zoneView is what the membership says about the availability zone at a tick.
-type zoneView struct {
-	members    []netip.AddrPort
-	rank       int
-	generation uint64
-	forwarders inquirer.Zone
-}
-
-// zoneView returns the view of the membership.
-func (t *Transporter) zoneView() zoneView {
-	var v zoneView
-	if t.zoneMembers != nil {
-		v.members = t.zoneMembers()
-	}
-	if t.zoneRank != nil {
-		v.rank = t.zoneRank()
-	}
-	if t.generation != nil {
-		v.generation = t.generation()
-	}
-	if t.forwarders != nil {
-		v.forwarders = t.forwarders()
-	}
-	return v
-}
-
 // tick does the periodic work once.
 func (t *Transporter) tick(buffer []byte) {
 	t.detectSuspension()
