tests/soak: with fewer than half of the daemons in rotation the fabric uses all

Fabric.SetPanicShare was there but never called, so that losing the checks of two of three daemons moved all flows to the third one, not as the comment said.

--- a/tests/soak/resets.go
+++ b/tests/soak/resets.go
@@ -19,6 +19,8 @@
 	crashesAfterMove = 3
 	// otherFaultDivisor is how many times fewer other faults are drawn while flows move: most of them show in the membership.
 	otherFaultDivisor = 8
+	// panicShare is the share of the daemons in rotation below which the fabric uses all of them.
+	panicShare = 0.5
 	// slowPause and fastPause are the pauses between two requests of a flow while it moves and afterwards.
 	slowPause = 800 * time.Millisecond
 	fastPause = 30 * time.Millisecond
@@ -98,6 +100,7 @@
 // loseProbesBeforeCrash loses the readiness checks of one daemon or of two of the three, so that the fabric uses all again.
 func (in *injector) loseProbesBeforeCrash() {
 	in.Fabric.SetModulo(in.random.IntN(2) == 0)
+	in.Fabric.SetPanicShare(panicShare)
 	in.SetRequestPause(slowPause)
 	moved := in.random.Perm(len(in.Daemons))[:1+in.random.IntN(2)]
 	setLost := func(lost bool) {
