--- a/review/_lab/collision.go
+++ b/review/_lab/collision.go
@@ -3,17 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/bluebelldyke/bluebelldyke/models/directory"
 	"github.com/bluebelldyke/bluebelldyke/modules/tagger"
 )
 
-var sheetRoute = netip.MustParseAddrPort("198.18.0.2:8443")
-
 // collidingIDs returns two host ids whose flow tags are equal, the lower one first. Ids have 10 hexadecimal digits.
 func collidingIDs() (low, high uint64) {
 	seen := map[uint32]uint64{}
@@ -79,11 +75,3 @@
 	}
 	return nil
 }
-
-// startRoutes writes the desired state of both services.
-func (w *world) startRoutes() {
-	w.configure([]directory.Route{
-		{Name: "r-feed", Address: feedRoute, Shares: []directory.Share{{Service: "ovenwatch", Weight: 1}}, Timeout: 2 * time.Second, TargetLatency: 150 * time.Millisecond, Priority: 2},
-		{Name: "r-sheet", Address: sheetRoute, Shares: []directory.Share{{Service: "recipecard", Weight: 1}}, Timeout: 8 * time.Second, TargetLatency: 500 * time.Millisecond, Priority: 2},
-	})
-}
--- a/review/_lab/host.go
+++ b/review/_lab/host.go
@@ -19,7 +19,8 @@
 	retransmitAfter   = 200 * time.Millisecond
 	retransmitMax     = 1600 * time.Millisecond
 	hostRetries       = 8
-	idleClose         = 12 * time.Second
+	maxFillers        = 8 // connections that fill the queue of a listener
+	fillerTimeout     = 50 * time.Millisecond
 )
 
 // host is a backend server stand-in, as PROTOCOL.md describes it.
@@ -32,13 +33,13 @@
 	health     net.Listener
 	healthGate sync.Mutex
 
-	mu       sync.Mutex
-	flows    map[flowKey]*hostFlow
-	cutFrom  map[netip.Addr]bool // machines whose datagrams do not arrive
-	loseNext map[flowKey]bool    // the next datagram with data of the flow is lost
-	runs     map[uint64]int
-	opened   int
-	refused  int // opening packets while it was full
+	mu          sync.Mutex
+	flows       map[flowKey]*hostFlow
+	runs        map[uint64]int
+	answerBytes int // of an answer
+	crashed     bool
+	opened      int
+	refused     int // opening packets while it was full
 }
 
 type hostFlow struct {
@@ -53,8 +54,8 @@
 
 func (w *world) addHost(service string, zone, number int, id uint64) (*host, error) {
 	h := &host{
-		w: w, work: 22 * time.Millisecond, limit: 2000, flows: map[flowKey]*hostFlow{}, cutFrom: map[netip.Addr]bool{},
-		loseNext: map[flowKey]bool{}, runs: map[uint64]int{},
+		w: w, work: 22 * time.Millisecond, limit: 2000, flows: map[flowKey]*hostFlow{},
+		runs: map[uint64]int{},
 		entry: directory.BackendServer{
 			ID: directory.ServerID(id), Service: service, Address: w.address(kindHost, zone, number, portHost), AvailabilityZone: zoneNames[zone], Slots: 2,
 			Incarnation: time.Now().UnixMilli(),
@@ -88,24 +89,13 @@
 	}
 }
 
-// stopHealth makes connections of liveness checks get no answer, as behind a cut, until the returned function is called. Its queue of new
-// connections is shortened and filled.
-func (h *host) stopHealth() (resume func()) {
+// stopHealth makes connections of liveness checks get no answer. The queue of new connections is shortened and filled.
+func (h *host) stopHealth() {
 	h.healthGate.Lock()
 	h.setBacklog(0)
-	var fillers []net.Conn
-	for range 8 {
-		c, err := net.DialTimeout("tcp4", h.entry.Address.String(), 50*time.Millisecond)
-		if err != nil {
-			break
-		}
-		fillers = append(fillers, c)
-	}
-	return func() {
-		h.setBacklog(128)
-		h.healthGate.Unlock()
-		for _, c := range fillers {
-			_ = c.Close()
+	for range maxFillers {
+		if _, err := net.DialTimeout("tcp4", h.entry.Address.String(), fillerTimeout); err != nil {
+			return
 		}
 	}
 }
@@ -120,6 +110,12 @@
 
 func (h *host) beat() {
 	for sequence := 1; ; sequence++ {
+		h.mu.Lock()
+		crashed := h.crashed
+		h.mu.Unlock()
+		if crashed {
+			return
+		}
 		h.w.store.SetServer(&h.entry, sequence)
 		select {
 		case <-h.w.ended:
@@ -132,7 +128,7 @@
 func (h *host) receive() {
 	buffer := make([]byte, 4096)
 	for {
-		n, from, err := h.conn.ReadFromUDPAddrPort(buffer)
+		n, _, err := h.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
@@ -145,7 +141,7 @@
 		}
 		p, data, intact, _ := decode(buffer[idSize:n])
 		h.mu.Lock()
-		if h.cutFrom[from.Addr().Unmap()] {
+		if h.crashed {
 			h.mu.Unlock()
 			continue
 		}
@@ -163,11 +159,6 @@
 	k := flowKey{p.Source, p.Destination}
 	f := h.flows[k]
 	now := time.Now()
-	if len(data) > 0 && h.loseNext[k] {
-		delete(h.loseNext, k)
-		h.w.record.add("lost: one datagram of flow %s on its way to host %x", k.requester, uint64(h.entry.ID))
-		return
-	}
 	switch {
 	case p.Flags.RST:
 		delete(h.flows, k)
@@ -205,7 +196,7 @@
 			h.send(k, f, editor.Flags{ACK: true}, f.next, nil)
 			id := binary.BigEndian.Uint64(data)
 			h.runs[id]++
-			h.w.record.add("run: request %d on flow %s at host %x", id, k.requester, uint64(h.entry.ID))
+			h.w.addRequest("run: request %d on flow %s at host %x", id, k.requester, uint64(h.entry.ID))
 			time.AfterFunc(h.work, func() { h.answer(k, f, id) })
 		case len(data) > 0:
 			h.send(k, f, editor.Flags{ACK: true}, f.next, nil)
@@ -218,6 +209,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	data := binary.BigEndian.AppendUint64([]byte("answer  "), id)
+	data = append(data, make([]byte, max(h.answerBytes-len(data), 0))...)
 	sequence := f.next
 	f.next += uint32(len(data))
 	h.transmit(k, f, sequence, data, retransmitAfter, hostRetries)
@@ -225,7 +217,7 @@
 
 // transmit sends data until it is acknowledged. The caller holds mu.
 func (h *host) transmit(k flowKey, f *hostFlow, sequence uint32, data []byte, interval time.Duration, left int) {
-	if h.flows[k] != f || int32(f.acknowledged-sequence-uint32(len(data))) >= 0 || left < 0 {
+	if h.crashed || h.flows[k] != f || int32(f.acknowledged-sequence-uint32(len(data))) >= 0 || left < 0 {
 		return
 	}
 	h.send(k, f, editor.Flags{ACK: true}, sequence, data)
@@ -249,16 +241,11 @@
 	return f != nil && f.open
 }
 
-// setCut cuts the link from machines to this host, or restores it.
-func (h *host) setCut(from netip.Addr, cut bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.cutFrom[from] = cut
-}
-
-// flowsAt returns the number of flows that the host holds.
-func (h *host) flowsAt() int {
+// crash makes the host silent. Its entry expires after three heartbeats.
+func (h *host) crash() {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.flows)
+	h.crashed = true
+	h.mu.Unlock()
+	h.stopHealth()
+	time.AfterFunc(3*heartbeatInterval, func() { h.w.store.RemoveServer(h.entry.ID) })
 }
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -13,7 +13,7 @@
 )
 
 var cases = map[string]func(w *world, trouble bool) error{
-	"stale-evidence": staleEvidence, "tag-collision": tagCollision,
+	"tag-collision": tagCollision, "cut-rejoin": cutRejoin,
 }
 
 func main() {
--- a/review/_lab/requester.go
+++ b/review/_lab/requester.go
@@ -79,15 +79,15 @@
 
 // flow is a flow of a requester. One goroutine at a time uses it.
 type flow struct {
-	c        *client
-	key      flowKey
-	in       chan received
-	echo     uint32
-	sequence uint32
-	ack      uint32
-	open     bool
-	openedAt time.Time
-	lastUsed time.Time
+	c              *client
+	key            flowKey
+	in             chan received
+	echo           uint32
+	sequence       uint32
+	ack            uint32
+	open           bool
+	sent, answered int
+	lastEnd        result
 }
 
 // result is how a request or the opening of a flow ended.
@@ -155,6 +155,9 @@
 		return 0, false
 	}
 	if f.open && (r.packet.SequenceNumber-f.ack > resetWindow && f.ack-r.packet.SequenceNumber > resetWindow) {
+		if r.unsigned {
+			f.c.w.broken("MIXED", "flow %s got a reset whose seq is %d behind its last ack", f.key.requester, int32(f.ack-r.packet.SequenceNumber))
+		}
 		return 0, false
 	}
 	if r.unsigned {
@@ -197,7 +200,7 @@
 	if !r.packet.Flags.SYN || !r.packet.Flags.ACK || r.packet.AckNumber != f.sequence+1 {
 		return 0, false
 	}
-	f.echo, f.open, f.openedAt, f.lastUsed = r.packet.Tag, true, time.Now(), time.Now()
+	f.echo, f.open = r.packet.Tag, true
 	f.sequence++
 	f.ack = r.packet.SequenceNumber + 1
 	f.send(editor.Flags{ACK: true}, nil)
@@ -207,16 +210,18 @@
 // request sends a request on the flow and waits for its answer until the time limit.
 func (f *flow) request(limit time.Duration) (uint64, result) {
 	id := lastRequest.Add(1)
+	f.sent++
 	data := make([]byte, requestBytes)
 	binary.BigEndian.PutUint64(data, id)
 	started := time.Now()
 	acknowledged := false
-	f.c.w.record.add("sent: request %d on flow %s", id, f.key.requester)
+	f.c.w.addRequest("sent: request %d on flow %s", id, f.key.requester)
 	end := func(r result) (uint64, result) {
-		f.c.w.record.add("end: request %d on flow %s: %s", id, f.key.requester, r)
-		f.lastUsed = time.Now()
+		f.lastEnd = r
+		f.c.w.addRequest("end: request %d on flow %s: %s", id, f.key.requester, r)
 		if r == answered {
 			f.c.w.answers.Add(1)
+			f.answered++
 		}
 		return id, r
 	}
@@ -267,21 +272,7 @@
 func (f *flow) close() {
 	f.send(editor.Flags{ACK: true, FIN: true}, nil)
 	f.forget()
-}
-
-// drainIdle takes the packets that arrived while the flow was idle and returns how it ended, if it did.
-func (f *flow) drainIdle() (result, bool) {
-	for {
-		select {
-		case r := <-f.in:
-			if e, reset := f.isReset(&r); reset {
-				return e, true
-			}
-			if len(r.data) > 0 {
-				f.send(editor.Flags{ACK: true}, nil)
-			}
-		default:
-			return 0, false
-		}
+	if f.c.w.totals && f.sent > 0 {
+		f.c.w.record.add("flow %s: sent %d requests, %d answered, the last one: %s", f.key.requester, f.sent, f.answered, f.lastEnd)
 	}
 }
--- a/review/_lab/world.go
+++ b/review/_lab/world.go
@@ -59,9 +59,8 @@
 	version   uint64
 	mu        sync.Mutex
 	violation []string
-	cut       bool // a machine is cut off now
 	answers   atomic.Uint64
-	resume    []func() // restore liveness checks after a cut
+	totals    bool // the record has totals of each flow and host instead of lines for each request
 }
 
 // daemon is a process of the project with the links to it.
@@ -191,7 +190,7 @@
 [placement]
 speed-digests = true
 [health]
-probe = %s
+probe = true
 [log]
 level = "info"
 format = "json"
@@ -199,7 +198,7 @@
 bytes = 9000
 [end]
 `, d.name, zoneNames[zone], d.entry, d.readiness, w.address(kindDaemon, zone, number, portMetrics), w.address(kindDaemon, zone, number, portPeer), link,
-		w.address(kindLink, 0, 0, portPeer), w.address(kindLink, 1, 0, portPeer), w.address(kindLink, 2, 0, portPeer), storeLink, probeSetting())
+		w.address(kindLink, 0, 0, portPeer), w.address(kindLink, 1, 0, portPeer), w.address(kindLink, 2, 0, portPeer), storeLink)
 	if err := os.WriteFile(d.settings, []byte(content), 0o600); err != nil {
 		return err
 	}
@@ -309,22 +308,6 @@
 	return fmt.Errorf("not all daemons are in rotation")
 }
 
-// setCut cuts a machine from all other machines, all hosts and the store, or restores its links. Requesters and routers still reach it.
-func (w *world) setCut(d *daemon, cut bool) {
-	w.record.add("platform: %s cut off: %v", d.name, cut)
-	for _, h := range w.hosts {
-		h.setCut(d.ip, cut)
-	}
-	for _, other := range w.daemons {
-		f := linker.DatagramFault{}
-		if cut {
-			f.Cut = func(from netip.Addr) bool { return other == d || from.Unmap() == d.ip }
-		}
-		other.peer.SetFault(f)
-	}
-	d.storeLink.SetFault(linker.StreamFault{HoldToServer: cut, HoldToClient: cut})
-}
-
 // stop ends all processes and removes the temporary folder.
 func (w *world) stop() {
 	select {
@@ -360,9 +343,14 @@
 	return list
 }
 
-func probeSetting() string {
-	if os.Getenv("PROBE") != "" {
-		return os.Getenv("PROBE")
+// cutOf returns which senders do not reach a daemon while d is cut off.
+func (w *world) cutOf(d, receiver *daemon) func(from netip.Addr) bool {
+	return func(from netip.Addr) bool { return receiver == d || from.Unmap() == d.ip }
+}
+
+// addRequest records what happened to one request, unless the record has totals.
+func (w *world) addRequest(format string, args ...any) {
+	if !w.totals {
+		w.record.add(format, args...)
 	}
-	return "true"
 }
